--- /dev/null
+++ b/include/zinniarelay/token/flow_token.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "zinniarelay/core/identifiers.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace zinnia {
+
+/// The route that a caller's packets carry (docs/design.md R2).
+struct flow_token {
+  service_id service;
+  std::uint32_t service_generation = 0;
+  zone_id zone;
+  host_id executing_host;
+  incarnation_id executing_incarnation;
+  std::uint32_t record_epoch = 0;
+  flow_id flow;
+
+  friend bool operator==(const flow_token&, const flow_token&) = default;
+};
+
+/// Size of a sealed token in bytes.
+inline constexpr std::size_t sealed_token_size = 52;
+
+} // namespace zinnia
--- /dev/null
+++ b/tests/libraries/core/endpoint_test.cpp
@@ -0,0 +1,21 @@
+#include "zinniarelay/core/endpoint.h"
+
+#include <boost/test/unit_test.hpp>
+
+BOOST_AUTO_TEST_SUITE(endpoint_test)
+
+BOOST_AUTO_TEST_CASE(round_trip) {
+  const auto value = zinnia::endpoint::parse("10.1.2.3:7000").value();
+  BOOST_TEST(value.address == 0x0A010203U);
+  BOOST_TEST(value.port == 7000);
+  BOOST_TEST(value.to_string() == "10.1.2.3:7000");
+}
+
+// Guards against a mistyped setting being read as some other address.
+BOOST_AUTO_TEST_CASE(refuses_what_is_not_an_address_and_port) {
+  for (const auto* text : {"", "10.1.2.3", "10.1.2.3:", "10.1.2.3:0", "10.1.2.3:65536",
+                           "10.1.2.3:7x", "host:7000", "::1:70"})
+    BOOST_TEST(!zinnia::endpoint::parse(text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
