--- /dev/null
+++ b/utilities/common/grpc_channel.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "zinniarelay/core/endpoint.h"
+
+#include <grpcpp/create_channel.h>
+#include <grpcpp/security/credentials.h>
+
+#include <memory>
+
+namespace zinnia::utilities {
+
+/// A connection of its own, without gRPC's retries (docs/design.md R7).
+inline std::shared_ptr<grpc::Channel> open_channel(const endpoint& target) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+  return grpc::CreateCustomChannel(target.to_string(), grpc::InsecureChannelCredentials(),
+                                   arguments);
+}
+
+} // namespace zinnia::utilities
