config: settings of entry and control hosts, keys file, log lines

Settings and keys files are read in one pass, and every finding is reported with its line, column and what was expected, before any port is opened. The data folder must exist: creating a mistyped one would look like a lost disk. Findings about a key never quote its secret, and a log line has no overload for keys.

--- /dev/null
+++ b/include/zinniarelay/config/checked.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "zinniarelay/core/finding.h"
+#include "zinniarelay/core/result.h"
+
+namespace zinnia {
+
+/// What an operator's file holds, or all findings that prevent its use.
+template <class T>
+using checked = boost::outcome_v2::basic_result<T, findings, boost::outcome_v2::policy::terminate>;
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/config/control_settings.cpp
@@ -0,0 +1,73 @@
+#include "zinniarelay/config/control_settings.h"
+
+#include "config/setting_checks.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace zinnia {
+namespace {
+
+constexpr number_range identifier_range{1, std::numeric_limits<std::uint64_t>::max()};
+
+std::vector<founding_member> read_members(const std::vector<YAML::Node>& nodes,
+                                          finding_sink& sink) {
+  std::vector<founding_member> members;
+  address_register addresses(sink);
+  for (const auto& node : nodes) {
+    yaml_map map(node, "a founding member", sink);
+    const auto id = map.number("id", presence::required, identifier_range);
+    const auto address = map.address("address", presence::required);
+    const auto zone = read_zone(map, "zone");
+    map.report_unknown_keys();
+    addresses.add(address, "member address", map.place("address"));
+    const bool is_repeated = id && std::any_of(members.begin(), members.end(),
+                                               [&](const auto& m) { return m.id.value == *id; });
+    if (is_repeated)
+      sink.report(map.place("id"), "founding member " + std::to_string(*id) + " is listed twice",
+                  "a different id");
+    if (id && address && zone) members.push_back({control_id{*id}, *address, *zone});
+  }
+  return members;
+}
+
+} // namespace
+
+checked<control_settings> control_settings::load(const std::filesystem::path& path) {
+  finding_sink sink(path.string());
+  const auto document = load_yaml(path, sink);
+  if (!document) return boost::outcome_v2::failure(sink.sorted());
+
+  control_settings out;
+  yaml_map map(*document, "the control settings", sink);
+  const auto control = map.number("control", presence::required, identifier_range);
+  out.control_ = control_id{control.value_or(0)};
+  out.availability_zone_ = read_zone(map, "availability_zone").value_or(zone_id{});
+  out.address_ = map.address("address", presence::required).value_or(endpoint{});
+  out.cluster_ = map.number("cluster", presence::required, identifier_range).value_or(0);
+  // The folder is never created here: a mistyped path would look like a lost
+  // disk, and a voter without its identity must not vote (docs/design.md R25).
+  out.data_folder_ =
+      read_path(map, "data_folder", presence::required, path_kind::folder, path.parent_path(), sink)
+          .value_or(std::filesystem::path());
+
+  const auto nodes = map.list("founding_members", presence::optional);
+  out.founding_members_ = read_members(nodes, sink);
+  if (map.has("founding_members") && nodes.size() % 2 == 0)
+    sink.report(map.place("founding_members"), std::to_string(nodes.size()) + " founding members",
+                "an odd number of members");
+  const auto self = std::find_if(out.founding_members_.begin(), out.founding_members_.end(),
+                                 [&](const auto& it) { return control && it.id == out.control_; });
+  const founding_member expected{out.control_, out.address_, out.availability_zone_};
+  if (self != out.founding_members_.end() && *self != expected)
+    sink.report(map.place("founding_members"),
+                "founding member " + std::to_string(*control) +
+                    " is this host with another address or zone",
+                "the address and availability_zone of this file");
+  map.report_unknown_keys();
+
+  if (sink.has_errors()) return boost::outcome_v2::failure(sink.sorted());
+  return out;
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/config/yaml_map.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "config/finding_sink.h"
+#include "zinniarelay/core/endpoint.h"
+#include "zinniarelay/core/time.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+#include <yaml-cpp/yaml.h>
+
+namespace zinnia {
+
+enum class presence { required, optional };
+
+/// Limits of a number, both included.
+struct number_range {
+  std::uint64_t low = 0;
+  std::uint64_t high = 0;
+};
+
+/// Limits of a duration, both included.
+struct duration_range {
+  milliseconds low{0};
+  milliseconds high{0};
+};
+
+/// Reads and parses a YAML file. Absent, with a finding, when there is no document.
+std::optional<YAML::Node> load_yaml(const std::filesystem::path& path, finding_sink& sink);
+
+/// As load_yaml, for text that is already in memory.
+std::optional<YAML::Node> parse_yaml(const std::string& text, finding_sink& sink);
+
+/// Reads the keys of one YAML map. Each reader reports what is wrong with its
+/// key and then returns nothing, so that one pass collects every finding.
+class yaml_map {
+public:
+  /// `name` names the map in findings.
+  yaml_map(const YAML::Node& node, std::string name, finding_sink& sink);
+
+  std::optional<YAML::Node> find(std::string_view key, presence need);
+  std::optional<std::string> text(std::string_view key, presence need);
+  std::optional<std::uint64_t> number(std::string_view key, presence need, number_range range);
+  /// A number with ms, s or min.
+  std::optional<milliseconds> duration(std::string_view key, presence need, duration_range range);
+  /// A number with B, KiB, MiB or GiB, in bytes.
+  std::optional<std::uint64_t> size(std::string_view key, presence need, number_range range);
+  /// An address that other hosts can reach; 0.0.0.0 is refused.
+  std::optional<endpoint> address(std::string_view key, presence need);
+  std::vector<YAML::Node> list(std::string_view key, presence need);
+
+  /// Reports the keys that no reader asked for; call it after the last reader.
+  void report_unknown_keys();
+
+  /// Place of a key's value, or of the map when the key is absent.
+  YAML::Mark place(std::string_view key) const;
+  bool has(std::string_view key) const;
+
+private:
+  struct entry {
+    std::string key;
+    YAML::Mark place;
+    YAML::Node value;
+  };
+
+  const entry* entry_of(std::string_view key) const;
+
+  std::string name_;
+  finding_sink& sink_;
+  YAML::Mark place_;
+  std::vector<entry> entries_;
+  std::vector<std::string> known_;
+  bool is_map_ = false;
+};
+
+/// Reads a scalar that names an address; reports anything else.
+std::optional<endpoint> read_address(const YAML::Node& node, std::string_view name,
+                                     finding_sink& sink);
+
+/// A value as findings quote it, shortened.
+std::string in_quotes(std::string_view value);
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/observe/log_line.cpp
@@ -0,0 +1,119 @@
+#include "zinniarelay/observe/log_line.h"
+
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Timestamp.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <glog/logging.h>
+#include <sstream>
+
+namespace zinnia {
+namespace {
+
+// Part of a value may come from another host; the bound keeps one line from
+// filling a disk.
+constexpr std::size_t longest_value = 300; // bytes
+
+log_identity& process_identity() {
+  static log_identity identity;
+  return identity;
+}
+
+std::string_view name_of(log_level level) {
+  constexpr std::array<std::string_view, 3> names{"info", "warning", "error"};
+  return names[static_cast<std::size_t>(level)];
+}
+
+bool is_plain(std::string_view value) {
+  return !value.empty() && value.find_first_of(" \"=\\") == std::string_view::npos &&
+         std::all_of(value.begin(), value.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
+/// Quotes a value, so that text from elsewhere cannot form fields or lines.
+std::string escaped(std::string_view value) {
+  std::string out = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (c >= ' ' && c <= '~') {
+      out += c;
+    } else {
+      std::array<char, 8> buf{};
+      std::snprintf(buf.data(), buf.size(), "\\x%02x", static_cast<unsigned char>(c));
+      out += buf.data();
+    }
+  }
+  return out + '"';
+}
+
+} // namespace
+
+void start_log(const char* program, log_identity identity) {
+  process_identity() = identity;
+  // The line itself carries time and level, in a form that tools can read.
+  FLAGS_log_prefix = false;
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(program);
+}
+
+log_line::log_line(log_level level, std::string_view event) : level_(level) {
+  const auto& self = process_identity();
+  text_ = "level=";
+  text_ += name_of(level);
+  with("host", self.host).with("zone", self.zone).with("event", event);
+}
+
+log_line::~log_line() {
+  const auto line =
+      "time=" + Poco::DateTimeFormatter::format(Poco::Timestamp(), "%Y-%m-%dT%H:%M:%sZ") + ' ' +
+      text_;
+  switch (level_) {
+  case log_level::info:
+    LOG(INFO) << line;
+    break;
+  case log_level::warning:
+    LOG(WARNING) << line;
+    break;
+  case log_level::error:
+    LOG(ERROR) << line;
+    break;
+  }
+}
+
+log_line& log_line::with(std::string_view key, std::string_view value) {
+  const auto shown = value.substr(0, longest_value);
+  text_ += ' ';
+  text_ += key;
+  text_ += '=';
+  if (is_plain(shown))
+    text_ += shown;
+  else
+    text_ += escaped(shown);
+  if (shown.size() < value.size()) text_ += "...";
+  return *this;
+}
+
+log_line& log_line::with(std::string_view key, double value) {
+  std::ostringstream out;
+  out << value;
+  return with(key, out.str());
+}
+
+log_line& log_line::with(const error& value) {
+  return with("place", value.place).with("cause", value.cause);
+}
+
+log_line& log_line::with(const finding& value) {
+  std::ostringstream out;
+  out << value;
+  return with("finding", out.str());
+}
+
+std::string log_line::text() const {
+  return text_;
+}
+
+} // namespace zinnia
