request, caller: headers with a working executor and session

The entry host composes request_executor, so its header comes first. A request is admitted, dispatched once, answered in parts, acknowledged and remembered; a session opens a flow, resends, assembles and acknowledges.

--- /dev/null
+++ b/include/zinniarelay/caller/caller_session.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "zinniarelay/caller/caller_events.h"
+#include "zinniarelay/caller/caller_settings.h"
+#include "zinniarelay/core/random.h"
+#include "zinniarelay/core/result.h"
+#include "zinniarelay/request/answer_assembler.h"
+#include "zinniarelay/request/request_key.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace zinnia {
+
+/// Packets that changed nothing, by reason; for metrics.
+struct caller_counters {
+  std::uint64_t opens = 0; ///< flows asked for
+  std::uint64_t resends = 0;
+  std::uint64_t reissues = 0;
+  std::uint64_t restarts = 0;         ///< of downloads
+  std::uint64_t ignored_opens = 0;    ///< replies to another nonce
+  std::uint64_t ignored_parts = 0;    ///< of other flows and requests
+  std::uint64_t ignored_outcomes = 0; ///< of other flows and requests
+  std::uint64_t duplicate_parts = 0;
+  std::uint64_t refused_parts = 0; ///< damaged, inconsistent or too long
+  std::uint64_t refusals = 0;
+
+  friend auto operator<=>(const caller_counters&, const caller_counters&) = default;
+};
+
+/// The caller's side of the protocol for one service: opens flows, sends
+/// requests until they end, assembles answers, and pulls downloads in ranges.
+/// A request that is not idempotent is sent under one flow and number only,
+/// unless the executing host said that it was not run (docs/design.md R6, R8).
+class caller_session {
+public:
+  /// Fails with error_kind::malformed for settings out of range. `seed` drives
+  /// nonces and jitter; sessions of one process need different seeds.
+  static result<caller_session> create(const caller_settings& settings, std::uint64_t seed);
+
+  /// Every submitted call ends in exactly one call_ended, at its deadline at the latest.
+  caller_effects step(time_point now, const caller_event& event);
+
+  /// When step needs a timer_fired event; nothing when no call is open.
+  std::optional<time_point> next_wakeup() const;
+
+  /// Calls and downloads that have not ended.
+  std::size_t open_calls() const { return calls_.size() + downloads_.size(); }
+
+  const caller_counters& counters() const { return counters_; }
+
+private:
+  caller_session(const caller_settings& settings, std::uint64_t seed);
+
+  struct flow_state {
+    flow_id id;
+    std::string token;
+    time_point valid_until;
+    std::uint64_t next_number = 1;
+  };
+
+  struct opening_state {
+    std::uint64_t nonce = 0;
+    time_point first_sent;
+    time_point resend_at;
+    milliseconds backoff{0};
+  };
+
+  // One request of the application or one range of a download. It may be issued
+  // several times, each time under a new flow or number.
+  struct operation {
+    call_id owner;
+    bool is_range = false;
+    std::uint32_t restart = 0; // of the download when the range was planned
+    wire::method_kind kind = wire::non_idempotent;
+    std::string method;
+    std::string payload;
+    std::uint64_t range_offset = 0;
+    std::uint32_t range_length = 0;
+    std::string content_version;
+    time_point deadline;
+    time_point not_before; // of the next issue
+    std::uint32_t issues = 0;
+    bool may_have_run = false; // an earlier issue ended as unknown
+  };
+
+  struct issued_request {
+    operation work;
+    std::string token;
+    answer_assembler assembler;
+    time_point first_sent;
+    time_point resend_at;
+    milliseconds backoff{0};
+    std::uint32_t attempt = 1;
+  };
+
+  struct download_state {
+    std::string method;
+    std::string payload;
+    time_point deadline;
+    std::uint32_t restart = 0;
+    std::optional<wire::content_info> info; // known from the first answer on
+    std::string bytes;
+    std::uint64_t next_offset = 0; // first byte not planned yet
+    std::uint64_t received = 0;
+    std::uint32_t in_flight = 0;
+  };
+
+  using issued_map = std::map<request_key, issued_request>;
+  using download_map = std::map<call_id, download_state>;
+
+  void on_event(time_point now, const call_submitted& event, caller_effects& out);
+  void on_event(time_point now, const download_submitted& event, caller_effects& out);
+  void on_event(time_point now, const packet_received& event, caller_effects& out);
+  void on_event(time_point now, const timer_fired& event, caller_effects& out);
+
+  void on_opened(time_point now, const wire::open_reply& reply);
+  void on_part(time_point now, const wire::answer_part& part, caller_effects& out);
+  void on_outcome(time_point now, const wire::request_outcome& outcome, caller_effects& out);
+  void on_refused(time_point now, const wire::refusal& refusal, caller_effects& out);
+
+  void renew_token(const issued_request& request, const wire::answer_part& part);
+  void answer(time_point now, issued_map::iterator it, caller_effects& out);
+  void end_issue(time_point now, issued_map::iterator it, wire::outcome_kind kind,
+                 wire::outcome_reason reason, caller_effects& out);
+  void fail(const operation& work, wire::outcome_kind kind, wire::outcome_reason reason,
+            caller_effects& out);
+  void end_call(call_id id, wire::outcome_kind kind, wire::outcome_reason reason,
+                std::string answer, caller_effects& out);
+
+  void on_range(time_point now, const operation& work, const answer_assembler& seen,
+                caller_effects& out);
+  void restart_download(time_point now, download_map::iterator it, caller_effects& out);
+  void plan_ranges(time_point now, call_id id, download_state& download);
+
+  void end_overdue(time_point now, caller_effects& out);
+  void resend_due(time_point now, caller_effects& out);
+  void issue_waiting(time_point now, caller_effects& out);
+  void issue(time_point now, operation work, caller_effects& out);
+  void open_flow(time_point now, caller_effects& out);
+  void send_open(time_point now, caller_effects& out);
+  void send_request(time_point now, const request_key& key, issued_request& request,
+                    caller_effects& out);
+  void acknowledge(const request_key& key, const std::string& token, caller_effects& out);
+
+  bool is_flow_usable(time_point now) const;
+  void abandon_flow(flow_id id);
+  bool is_obsolete(const operation& work) const;
+  bool may_reissue(const operation& work, wire::outcome_kind kind,
+                   wire::outcome_reason reason) const;
+  milliseconds jittered(milliseconds delay);
+  milliseconds grown(milliseconds backoff) const;
+
+  caller_settings settings_;
+  random_engine engine_;
+  std::optional<flow_state> flow_;
+  std::optional<opening_state> opening_;
+  std::deque<operation> waiting_;
+  issued_map issued_;
+  std::map<call_id, time_point> calls_;
+  download_map downloads_;
+  // Tokens of answers acknowledged last, to repeat a lost acknowledgement.
+  std::map<request_key, std::string> acknowledged_;
+  std::deque<request_key> acknowledged_order_;
+  caller_counters counters_;
+};
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/request/request_executor.cpp
@@ -0,0 +1,388 @@
+#include "zinniarelay/request/request_executor.h"
+
+#include "zinniarelay/request/answer_parts.h"
+#include "zinniarelay/request/content_digest.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace zinnia {
+namespace {
+
+// A late duplicate of an idempotent request only costs work, so its identity
+// need not outlive the usual delay of a duplicate.
+constexpr std::uint32_t idempotent_identity_epochs = 2;
+
+// Room for a request's packet and its record, in bytes.
+constexpr std::uint64_t request_overhead = 2'048;
+constexpr std::uint64_t answer_overhead = sizeof(live_record) + 256;
+
+send_packet outcome_packet(const reply_route& route, const request_key& key,
+                           wire::outcome_kind kind, wire::outcome_reason reason) {
+  send_packet out{route, {}};
+  auto& outcome = *out.packet.mutable_outcome();
+  outcome.set_flow(key.flow.value);
+  outcome.set_request_number(key.number);
+  outcome.set_kind(kind);
+  outcome.set_reason(reason);
+  return out;
+}
+
+wire::outcome_kind wire_kind(settled_state state) {
+  return state == settled_state::not_run ? wire::outcome_not_run : wire::outcome_unknown;
+}
+
+} // namespace
+
+request_executor::request_executor(const request_settings& settings, host_id host,
+                                   incarnation_id incarnation, token_sealer sealer,
+                                   request_table table)
+    : settings_(settings), host_(host), incarnation_(incarnation), sealer_(std::move(sealer)),
+      table_(std::move(table)) {}
+
+result<request_executor> request_executor::create(const request_settings& settings, host_id host,
+                                                  incarnation_id incarnation, token_sealer sealer) {
+  if (settings.epoch_length.count() < 1 || settings.epoch_window < 2 ||
+      settings.longest_answer == 0 || settings.parts_per_packet == 0 || settings.attempts == 0 ||
+      !sealer)
+    return failure(error_kind::malformed, "request settings",
+                   "a value is out of range; expected an epoch of at least 1 ms, a window of at "
+                   "least 2 epochs, the other values at least 1, and a token sealer");
+  ZINNIA_TRY(records, request_table::create(settings.table));
+  return request_executor(settings, host, incarnation, std::move(sealer), std::move(records));
+}
+
+std::uint32_t request_executor::record_epoch(time_point now) const {
+  return static_cast<std::uint32_t>(now.time_since_epoch() / settings_.epoch_length);
+}
+
+milliseconds request_executor::token_validity(time_point now) const {
+  const auto end =
+      settings_.epoch_length * (std::int64_t{record_epoch(now)} + settings_.epoch_window);
+  return std::chrono::floor<milliseconds>(time_point(end) - now);
+}
+
+milliseconds request_executor::least_token_validity() const {
+  return settings_.epoch_length * (settings_.epoch_window - 2);
+}
+
+bool request_executor::is_own(const flow_token& token) const {
+  return token.executing_host == host_ && token.executing_incarnation == incarnation_;
+}
+
+bool request_executor::is_in_window(time_point now, const flow_token& token) const {
+  const auto epoch = record_epoch(now);
+  return token.record_epoch <= epoch && epoch - token.record_epoch < settings_.epoch_window;
+}
+
+std::uint32_t request_executor::identity_expiry(time_point now, wire::method_kind kind) const {
+  // Counted from the end of the request and not from the epoch of its token,
+  // because a duplicate may carry any token of the flow sealed until then.
+  const bool is_idempotent = kind == wire::idempotent;
+  return record_epoch(now) + (is_idempotent
+                                  ? std::min(idempotent_identity_epochs, settings_.epoch_window)
+                                  : settings_.epoch_window);
+}
+
+retry_budget& request_executor::budget_of(service_id service) {
+  return budgets_.try_emplace(service, settings_.retry_burst).first->second;
+}
+
+request_effects request_executor::on_request(time_point now, const flow_token& token,
+                                             const wire::service_request& request,
+                                             const service_policy& policy, const reply_route& route,
+                                             takeover_mode mode) {
+  const request_key key{token.flow, request.request_number()};
+  if (auto* record = table_.find_live(key)) {
+    ++counters_.duplicate_requests;
+    // A caller may resend through another path; the newest one works best.
+    record->route = route;
+    return resend(now, key, *record, request);
+  }
+  if (const auto* record = table_.find_settled(key)) {
+    ++counters_.duplicate_requests;
+    if (record->state == settled_state::acknowledged) return {};
+    return {outcome_packet(route, key, wire_kind(record->state), record->outcome_reason())};
+  }
+  if (is_own(token)) {
+    if (!is_in_window(now, token)) {
+      ++counters_.outside_window;
+      return {outcome_packet(route, key, wire::outcome_unknown, wire::reason_window_passed)};
+    }
+    return admit(now, key, token, request, policy, route);
+  }
+  const bool is_restart = token.executing_host == host_;
+  if (policy.kind != wire::idempotent) {
+    if (!is_restart && mode != takeover_mode::executing_host_dead) {
+      ++counters_.foreign_requests;
+      return {};
+    }
+    ++counters_.other_incarnation;
+    return {outcome_packet(route, key, wire::outcome_unknown,
+                           is_restart ? wire::reason_other_incarnation
+                                      : wire::reason_executing_host_lost)};
+  }
+  if (!is_restart && mode == takeover_mode::none) {
+    ++counters_.foreign_requests;
+    return {};
+  }
+  // The first transmission of a request is no retry, even when its flow's host is gone.
+  if (request.attempt() > 1 && !budget_of(policy.service).try_retry()) {
+    ++counters_.takeovers_refused;
+    return {};
+  }
+  ++counters_.takeovers;
+  return admit(now, key, token, request, policy, route);
+}
+
+request_effects request_executor::resend(time_point now, const request_key& key,
+                                         live_record& record,
+                                         const wire::service_request& request) {
+  if (record.state != live_state::answered)
+    return {outcome_packet(record.route, key, wire::outcome_unset, wire::reason_pending)};
+  // An offset into another host's answer says nothing about this one.
+  const bool is_same = request.answer_digest() == record.digest;
+  request_effects out;
+  append_parts(now, key, record, is_same ? request.resume_offset() : 0, out);
+  return out;
+}
+
+request_effects request_executor::admit(time_point now, const request_key& key,
+                                        const flow_token& token,
+                                        const wire::service_request& request,
+                                        const service_policy& policy, const reply_route& route) {
+  const bool is_takeover = !is_own(token);
+  const auto refusal = policy.kind == wire::method_kind_unset ? wire::reason_unknown_method
+                       : is_draining_                         ? wire::reason_draining
+                       : request.deadline_ms() == 0           ? wire::reason_deadline
+                                                              : wire::reason_unset;
+  if (refusal != wire::reason_unset) {
+    // Only the executing incarnation may say not_run (docs/design.md R6).
+    if (is_takeover) return {outcome_packet(route, key, wire::outcome_unknown, refusal)};
+    return refuse(now, key, route, policy.kind, refusal);
+  }
+  const auto expected_answer =
+      request.range().length() > 0
+          ? std::min<std::uint64_t>(request.range().length(), settings_.longest_answer)
+          : settings_.longest_answer;
+  auto* record = table_.admit(key, request_overhead + answer_overhead + expected_answer);
+  if (record == nullptr) {
+    ++counters_.refused_full;
+    if (is_takeover)
+      return {outcome_packet(route, key, wire::outcome_unknown, wire::reason_table_full)};
+    return refuse(now, key, route, policy.kind, wire::reason_table_full);
+  }
+  const auto left = std::min(milliseconds(request.deadline_ms()), policy.longest_deadline);
+  record->token = token;
+  record->route = route;
+  record->deadline = now + left;
+  record->kind = policy.kind;
+  record->is_takeover = is_takeover;
+  record->attempt = 1;
+  record->method = request.method();
+  record->payload = request.payload();
+  record->range = request.range();
+  timers_.push({record->deadline, key});
+  budget_of(policy.service).on_first_attempt(policy.retry_percent);
+  return {dispatch_of(key, *record)};
+}
+
+request_effects request_executor::refuse(time_point now, const request_key& key,
+                                         const reply_route& route, wire::method_kind kind,
+                                         wire::outcome_reason reason) {
+  // An idempotent request may run after all when it is sent again.
+  if (kind != wire::idempotent && !table_.add_tombstone(key, reason, identity_expiry(now, kind))) {
+    ++counters_.dropped_full;
+    return {};
+  }
+  return {outcome_packet(route, key, wire::outcome_not_run, reason)};
+}
+
+request_effects request_executor::settle(time_point now, const request_key& key,
+                                         live_record& record, settled_state state,
+                                         wire::outcome_reason reason) {
+  // A takeover does not know what the executing host did (docs/design.md R6).
+  const bool is_doubtful = record.is_takeover || record.may_have_run;
+  const auto told = is_doubtful ? settled_state::unknown : state;
+  const auto route = record.route;
+  table_.settle(key, told, reason, identity_expiry(now, record.kind));
+  return {outcome_packet(route, key, wire_kind(told), reason)};
+}
+
+dispatch_request request_executor::dispatch_of(const request_key& key,
+                                               const live_record& record) const {
+  return {{key, record.attempt}, record.token.service, record.method, record.payload,
+          record.range,          record.deadline,      record.kind};
+}
+
+start_permission request_executor::on_dispatch_started(time_point now, const attempt_key& key) {
+  auto* record = table_.find_live(key.request);
+  if (record == nullptr || record->attempt != key.attempt || record->state != live_state::queued ||
+      now >= record->deadline) {
+    ++counters_.starts_withdrawn;
+    return start_permission::withdrawn;
+  }
+  record->state = live_state::dispatched;
+  return start_permission::granted;
+}
+
+request_effects request_executor::retry_or(time_point now, const request_key& key,
+                                           live_record& record, settled_state state,
+                                           wire::outcome_reason reason) {
+  if (record.state == live_state::cancelling || now >= record.deadline)
+    return settle(now, key, record, state, wire::reason_deadline);
+  if (record.attempt >= settings_.attempts) return settle(now, key, record, state, reason);
+  if (!budget_of(record.token.service).try_retry()) {
+    ++counters_.retries_refused;
+    return settle(now, key, record, state, reason);
+  }
+  ++counters_.retries;
+  ++record.attempt;
+  record.state = live_state::queued;
+  return {dispatch_of(key, record)};
+}
+
+request_effects request_executor::on_dispatch_result(time_point now, const attempt_key& key,
+                                                     const dispatch_result& seen) {
+  auto* record = table_.find_live(key.request);
+  const bool is_current =
+      record != nullptr && record->attempt == key.attempt &&
+      (record->state == live_state::dispatched || record->state == live_state::cancelling);
+  if (!is_current) {
+    ++counters_.late_results;
+    return {};
+  }
+  const bool is_idempotent = record->kind == wire::idempotent;
+  switch (seen.outcome) {
+  case dispatch_outcome::done:
+    return store_answer(now, key.request, *record, seen);
+  case dispatch_outcome::refused_before_start:
+    return retry_or(now, key.request, *record, settled_state::not_run, wire::reason_overloaded);
+  case dispatch_outcome::not_written:
+    return retry_or(now, key.request, *record, settled_state::not_run, wire::reason_no_upstream);
+  case dispatch_outcome::cancelled_before_start:
+    return retry_or(now, key.request, *record, settled_state::not_run, wire::reason_deadline);
+  case dispatch_outcome::content_changed:
+    return settle(now, key.request, *record,
+                  is_idempotent ? settled_state::not_run : settled_state::unknown,
+                  wire::reason_content_changed);
+  case dispatch_outcome::failed_after_start:
+  case dispatch_outcome::lost:
+    break;
+  }
+  const auto reason = seen.outcome == dispatch_outcome::lost ? wire::reason_upstream_lost
+                                                             : wire::reason_upstream_error;
+  if (!is_idempotent)
+    return settle(now, key.request, *record, settled_state::unknown,
+                  record->state == live_state::cancelling ? wire::reason_deadline : reason);
+  record->may_have_run = true;
+  return retry_or(now, key.request, *record, settled_state::unknown, reason);
+}
+
+request_effects request_executor::on_dispatch_rejected(time_point now, const attempt_key& key,
+                                                       wire::outcome_reason reason) {
+  auto* record = table_.find_live(key.request);
+  if (record == nullptr || record->attempt != key.attempt || record->state != live_state::queued) {
+    ++counters_.late_results;
+    return {};
+  }
+  return settle(now, key.request, *record, settled_state::not_run, reason);
+}
+
+request_effects request_executor::store_answer(time_point now, const request_key& key,
+                                               live_record& record, const dispatch_result& seen) {
+  if (seen.payload.size() > settings_.longest_answer ||
+      seen.content.version().size() > longest_content_version ||
+      seen.content.digest().size() > content_digest_size) {
+    ++counters_.oversized_answers;
+    return settle(now, key, record, settled_state::unknown, wire::reason_upstream_error);
+  }
+  record.answer = seen.payload;
+  record.content = seen.content;
+  record.digest = content_digest(record.answer);
+  record.method = {};
+  record.payload = {};
+  record.range = {};
+  record.expiry_epoch = identity_expiry(now, record.kind);
+  table_.recharge(record, std::min(record.charged_bytes, answer_overhead + record.answer.size()));
+  table_.mark_answered(record);
+  request_effects out;
+  append_parts(now, key, record, 0, out);
+  return out;
+}
+
+void request_executor::append_parts(time_point now, const request_key& key,
+                                    const live_record& record, std::size_t offset,
+                                    request_effects& out) const {
+  for (auto& part :
+       split_answer(key, record.answer, record.digest, offset, settings_.parts_per_packet)) {
+    if (part.offset() == 0) {
+      if (!record.content.version().empty()) *part.mutable_content() = record.content;
+      // A taken-over flow keeps its token, because only the executing host may
+      // extend the epochs in which its records are kept.
+      if (!record.is_takeover) {
+        auto renewed = record.token;
+        renewed.record_epoch = record_epoch(now);
+        part.set_renewed_token(sealer_(renewed));
+        part.set_valid_ms(static_cast<std::uint32_t>(token_validity(now).count()));
+      }
+    }
+    send_packet send{record.route, {}};
+    *send.packet.mutable_part() = std::move(part);
+    out.push_back(std::move(send));
+  }
+}
+
+void request_executor::on_ack(time_point now, const flow_token& token, std::uint64_t number) {
+  const request_key key{token.flow, number};
+  auto* record = table_.find_live(key);
+  if (record == nullptr || record->state != live_state::answered) {
+    ++counters_.late_acks;
+    return;
+  }
+  table_.settle(key, settled_state::acknowledged, wire::reason_unset,
+                identity_expiry(now, record->kind));
+}
+
+request_effects request_executor::on_deadline(time_point now, const request_key& key,
+                                              live_record& record) {
+  switch (record.state) {
+  case live_state::queued: {
+    const attempt_key attempt{key, record.attempt};
+    auto out = settle(now, key, record, settled_state::not_run, wire::reason_deadline);
+    out.insert(out.begin(), cancel_dispatch{attempt});
+    return out;
+  }
+  case live_state::dispatched:
+    record.state = live_state::cancelling;
+    record.deadline = now + settings_.cancel_grace;
+    timers_.push({record.deadline, key});
+    return {cancel_dispatch{{key, record.attempt}}};
+  case live_state::cancelling:
+    return settle(now, key, record, settled_state::unknown, wire::reason_deadline);
+  case live_state::answered:
+    break;
+  }
+  return {};
+}
+
+request_effects request_executor::on_tick(time_point now) {
+  request_effects out;
+  while (!timers_.empty() && timers_.top().due <= now) {
+    const auto due = timers_.top();
+    timers_.pop();
+    auto* record = table_.find_live(due.key);
+    if (record == nullptr || record->deadline != due.due) continue;
+    auto more = on_deadline(now, due.key, *record);
+    out.insert(out.end(), std::make_move_iterator(more.begin()),
+               std::make_move_iterator(more.end()));
+  }
+  const auto epoch = record_epoch(now);
+  if (epoch != expired_epoch_) {
+    expired_epoch_ = epoch;
+    table_.expire(epoch);
+  }
+  return out;
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/request/retry_budget.cpp
@@ -0,0 +1,17 @@
+#include "zinniarelay/request/retry_budget.h"
+
+#include <algorithm>
+
+namespace zinnia {
+
+void retry_budget::on_first_attempt(std::uint32_t percent) {
+  credit_ = std::min(cap_, credit_ + percent);
+}
+
+bool retry_budget::try_retry() {
+  if (credit_ < unit) return false;
+  credit_ -= unit;
+  return true;
+}
+
+} // namespace zinnia
