--- /dev/null
+++ b/include/zinniarelay/balance/dispatch_queue.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "zinniarelay/balance/slot_exchange.h"
+#include "zinniarelay/balance/work.h"
+#include "zinniarelay/membership/host_load.h"
+#include "zinniarelay/upstream/upstream_pool.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace zinnia {
+
+struct dispatch_settings {
+  /// Longest queue of a service, as requests per usable slot, and at least minimum_queue.
+  std::uint32_t queue_per_slot = 16;
+  std::uint32_t minimum_queue = 64;
+  /// A request is refused when its expected wait leaves less than this many mean service times.
+  double service_margin = 3;
+  /// How long a request waits while no upstream may get work.
+  milliseconds no_upstream_grace{1000};
+  slot_exchange_settings exchange;
+};
+
+/// Bounded, deadline-aware queues, one per service, which bind requests to upstream slots
+/// at dispatch (docs/design.md R4, R23, R24). Every call returns what the caller has to do.
+class dispatch_queue {
+public:
+  /// The pool must outlive the queue. Without a lender choice nothing is borrowed. The seed
+  /// differs between incarnations.
+  dispatch_queue(dispatch_settings settings, upstream_pool& pool, std::uint64_t seed,
+                 slot_exchange::lender_choice choose_lender = {});
+
+  dispatch_effects enqueue(time_point now, const work& request);
+
+  /// A started request has ended; frees its slot. Unknown keys are ignored.
+  dispatch_effects finish(time_point now, const work_key& key, call_result result);
+
+  /// Removes a queued request; returns whether it was queued. A running one is untouched.
+  bool cancel(const work_key& key);
+
+  /// Starts what became possible and refuses what expired; call at least every 50 ms and
+  /// after an announcement.
+  dispatch_effects tick(time_point now);
+
+  /// A slot_ask, slot_given or slot_returned body arrived from another host.
+  dispatch_effects on_peer_message(time_point now, const wire::peer_packet& packet);
+
+  /// The host is dead, departed or restarted.
+  dispatch_effects on_host_gone(time_point now, host_id host);
+
+  std::size_t queued(service_id service) const;
+  std::size_t running() const { return running_.size(); }
+
+  /// The entries for host_load: usable slots, slots in use and queued requests per service.
+  std::vector<service_load> loads(time_point now) const;
+
+private:
+  struct queued_work {
+    work request;
+    time_point queued_at;
+  };
+  struct service_queue {
+    std::deque<queued_work> waiting;
+    time_point last_upstream; ///< when an upstream could last get work
+  };
+  struct running_work {
+    upstream_slot slot;
+    time_point started;
+    std::optional<slot_exchange::borrowed> loan;
+  };
+
+  std::optional<reject_reason> refusal(time_point now, const work& request,
+                                       const service_queue& queue) const;
+  void drop_hopeless(time_point now, service_id service, service_queue& queue,
+                     dispatch_effects& out);
+  void dispatch(time_point now, service_id service, dispatch_effects& out);
+  void start(time_point now, const upstream_slot& slot,
+             const std::optional<slot_exchange::borrowed>& loan, service_queue& queue,
+             dispatch_effects& out);
+  void dispatch_all(time_point now, dispatch_effects& out);
+  service_queue& queue_of(time_point now, service_id service);
+
+  dispatch_settings settings_;
+  upstream_pool& pool_;
+  slot_exchange exchange_;
+  std::map<service_id, service_queue> queues_;
+  std::unordered_map<work_key, running_work> running_;
+  std::unordered_map<work_key, service_id> waiting_index_;
+};
+
+} // namespace zinnia
--- /dev/null
+++ b/include/zinniarelay/balance/host_router.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "zinniarelay/core/random.h"
+#include "zinniarelay/membership/member.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace zinnia {
+
+struct router_settings {
+  /// One-way delay to another zone when none was set.
+  microseconds zone_delay{5000};
+  /// Assumed until a summary carries a measured one.
+  microseconds service_time{20'000};
+  /// A decision counts as outstanding until a summary sent this long after it has arrived.
+  milliseconds decision_memory{1000};
+  /// Extra advantage that another zone must have before work is sent there.
+  microseconds spill_margin{2000};
+};
+
+/// Chooses the executing host of a new flow from load summaries (docs/design.md R22).
+class host_router {
+public:
+  host_router(host_id self, zone_id zone, router_settings settings, std::uint64_t seed);
+
+  /// Takes the state of a host, this one included, from a member_changed effect.
+  void on_member(time_point now, const member& value);
+  void on_forgotten(host_id id);
+
+  /// One-way delay to another zone.
+  void set_zone_delay(zone_id zone, microseconds delay);
+
+  /// Empty when no live host has an upstream of the service.
+  std::optional<host_id> choose(time_point now, service_id service, std::uint64_t key);
+
+  /// A host of this zone that reports a free slot, for dispatch_queue's requests (R24).
+  std::optional<host_id> choose_lender(time_point now, service_id service);
+
+private:
+  struct candidate {
+    host_id id;
+    zone_id zone;
+    std::uint32_t slots = 0;
+    std::uint32_t outstanding = 0;
+    std::uint32_t queued = 0;
+    microseconds service_time{0};
+    bool is_draining = false;
+    std::deque<time_point> decisions; ///< flows sent there that the summary does not show
+  };
+  struct service_hosts {
+    std::vector<candidate> hosts; ///< ordered by id
+    bool is_spilling = false;
+  };
+
+  void remove(host_id id);
+  void age_decisions(time_point now, service_hosts& hosts) const;
+  microseconds delay_to(zone_id zone) const;
+  microseconds wait_at(const candidate& it) const;
+  double load_of(const candidate& it) const;
+  candidate* two_choices(std::vector<candidate*>& from);
+  candidate* weighted_pick(const std::vector<candidate*>& from);
+
+  host_id self_;
+  zone_id zone_;
+  router_settings settings_;
+  random_engine engine_;
+  std::map<service_id, service_hosts> services_;
+  std::unordered_map<host_id, std::pair<incarnation_id, std::uint64_t>> seen_;
+  std::unordered_map<zone_id, microseconds> delays_;
+};
+
+} // namespace zinnia
--- /dev/null
+++ b/include/zinniarelay/balance/slot_exchange.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "zinniarelay/balance/work.h"
+#include "zinniarelay/upstream/upstream_pool.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace zinnia {
+
+struct slot_exchange_settings {
+  /// A request is repeated after this time, and the lender keeps it waiting this long.
+  milliseconds answer_timeout{50};
+  unsigned attempts = 2;
+  /// A borrower renews a grant in use this often.
+  milliseconds renew_period{500};
+  /// The lender takes back a grant that was not renewed for this long.
+  milliseconds grant_lease{2000};
+  unsigned requests_in_flight = 4;   ///< per service
+  std::size_t waiting_requests = 64; ///< kept for other hosts
+};
+
+/// Borrowing and lending of slots between hosts (docs/design.md R24). Losing any message
+/// delays the return of a slot by at most the grant lease; a slot counted twice meanwhile
+/// affects balance only, because the upstream refuses what it cannot take.
+class slot_exchange {
+public:
+  /// Names the host to ask for a slot of a service.
+  using lender_choice = std::function<std::optional<host_id>(time_point, service_id)>;
+
+  /// A slot that another host granted.
+  struct borrowed {
+    host_id lender;
+    std::uint64_t grant = 0;
+    upstream_slot slot;
+    time_point next_renewal;
+  };
+
+  /// The seed makes the grants of two incarnations of a host differ.
+  slot_exchange(slot_exchange_settings settings, upstream_pool& pool, lender_choice choose,
+                std::uint64_t seed);
+
+  /// Asks for up to this number of slots, counting the requests already in flight.
+  void ask(time_point now, service_id service, std::size_t wanted, dispatch_effects& out);
+
+  /// Handles a slot message. Returns the slot when it was a grant to this host. The owner
+  /// calls serve afterwards when it has no work of its own.
+  std::optional<borrowed> on_message(time_point now, const wire::peer_packet& packet,
+                                     dispatch_effects& out);
+
+  /// Returns a borrowed slot to its lender.
+  void give_back(const borrowed& it, call_result result, microseconds held, dispatch_effects& out);
+
+  /// Grants free slots to waiting requests of other hosts, after this host's own work.
+  void serve(time_point now, service_id service, dispatch_effects& out);
+
+  /// Renews grants in use, repeats requests and takes back grants that were not renewed.
+  void tick(time_point now, dispatch_effects& out);
+
+  /// Takes back everything that a dead or restarted host borrowed.
+  void on_host_gone(time_point now, host_id host);
+
+  std::size_t lent() const { return lent_.size(); }
+  std::size_t in_flight(service_id service) const;
+
+private:
+  struct request {
+    service_id service;
+    host_id lender;
+    time_point first_sent;
+    time_point last_sent;
+    unsigned sent = 1;
+  };
+  struct lent_slot {
+    host_id borrower;
+    incarnation_id borrower_incarnation;
+    std::uint64_t sequence = 0;
+    upstream_slot slot;
+    milliseconds valid{0};
+    time_point renewed;
+  };
+  struct waiting_request {
+    host_id borrower;
+    incarnation_id borrower_incarnation;
+    std::uint64_t sequence = 0;
+    service_id service;
+    time_point expires;
+  };
+
+  void on_request(time_point now, const wire::peer_packet& packet, dispatch_effects& out);
+  void renew(time_point now, const wire::peer_packet& packet);
+  std::optional<borrowed> on_grant(time_point now, const wire::peer_packet& packet,
+                                   dispatch_effects& out);
+  void on_release(time_point now, const wire::peer_packet& packet);
+  void send_request(std::uint64_t sequence, const request& it, dispatch_effects& out) const;
+  void send_grant(std::uint64_t grant, const lent_slot& it, dispatch_effects& out) const;
+  void send_release(host_id lender, std::uint64_t grant, call_result result, microseconds held,
+                    dispatch_effects& out) const;
+
+  slot_exchange_settings settings_;
+  upstream_pool& pool_;
+  lender_choice choose_;
+  std::map<std::uint64_t, request> requests_; ///< by sequence
+  std::map<std::pair<host_id, std::uint64_t>, borrowed> borrowed_;
+  std::map<std::uint64_t, lent_slot> lent_; ///< by grant
+  std::deque<waiting_request> waiting_;
+  std::uint64_t next_sequence_ = 1;
+  std::uint64_t next_grant_;
+};
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/balance/dispatch_queue.cpp
@@ -0,0 +1,183 @@
+#include "zinniarelay/balance/dispatch_queue.h"
+
+#include <algorithm>
+#include <set>
+
+namespace zinnia {
+namespace {
+
+// A request with less than this many mean service times left is refused instead of
+// started, because most of such calls would be cancelled after using a slot.
+constexpr double least_remaining = 0.5;
+
+microseconds scaled(microseconds value, double factor) {
+  return microseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
+}
+
+} // namespace
+
+dispatch_queue::dispatch_queue(dispatch_settings settings, upstream_pool& pool, std::uint64_t seed,
+                               slot_exchange::lender_choice choose_lender)
+    : settings_(settings), pool_(pool),
+      exchange_(settings.exchange, pool, std::move(choose_lender), seed) {}
+
+dispatch_effects dispatch_queue::enqueue(time_point now, const work& request) {
+  dispatch_effects out;
+  auto& queue = queue_of(now, request.service);
+  if (const auto reason = refusal(now, request, queue)) {
+    out.push_back(reject_work{request.key, *reason});
+    return out;
+  }
+  queue.waiting.push_back({request, now});
+  waiting_index_.emplace(request.key, request.service);
+  dispatch(now, request.service, out);
+  return out;
+}
+
+dispatch_effects dispatch_queue::finish(time_point now, const work_key& key, call_result result) {
+  dispatch_effects out;
+  const auto at = running_.find(key);
+  if (at == running_.end()) return out;
+  const auto ended = at->second;
+  running_.erase(at);
+  if (ended.loan)
+    exchange_.give_back(*ended.loan, result, now - ended.started, out);
+  else
+    pool_.release(now, ended.slot, result, now - ended.started);
+  dispatch(now, ended.slot.service, out);
+  return out;
+}
+
+bool dispatch_queue::cancel(const work_key& key) {
+  const auto at = waiting_index_.find(key);
+  if (at == waiting_index_.end()) return false;
+  auto& waiting = queues_.at(at->second).waiting;
+  std::erase_if(waiting, [&](const queued_work& it) { return it.request.key == key; });
+  waiting_index_.erase(at);
+  return true;
+}
+
+dispatch_effects dispatch_queue::tick(time_point now) {
+  dispatch_effects out;
+  exchange_.tick(now, out);
+  for (auto& [service, queue] : queues_)
+    drop_hopeless(now, service, queue, out);
+  dispatch_all(now, out);
+  return out;
+}
+
+dispatch_effects dispatch_queue::on_peer_message(time_point now, const wire::peer_packet& packet) {
+  dispatch_effects out;
+  const auto loan = exchange_.on_message(now, packet, out);
+  if (!loan) {
+    dispatch_all(now, out);
+    return out;
+  }
+  auto& queue = queue_of(now, loan->slot.service);
+  queue.last_upstream = now;
+  drop_hopeless(now, loan->slot.service, queue, out);
+  if (queue.waiting.empty())
+    exchange_.give_back(*loan, call_result::unused, microseconds{0}, out);
+  else
+    start(now, loan->slot, loan, queue, out);
+  return out;
+}
+
+dispatch_effects dispatch_queue::on_host_gone(time_point now, host_id host) {
+  dispatch_effects out;
+  exchange_.on_host_gone(now, host);
+  dispatch_all(now, out);
+  return out;
+}
+
+std::size_t dispatch_queue::queued(service_id service) const {
+  const auto at = queues_.find(service);
+  return at == queues_.end() ? 0 : at->second.waiting.size();
+}
+
+std::vector<service_load> dispatch_queue::loads(time_point now) const {
+  std::set<service_id> services;
+  for (const auto id : pool_.services())
+    services.insert(id);
+  for (const auto& [id, queue] : queues_)
+    if (!queue.waiting.empty()) services.insert(id);
+  std::vector<service_load> list;
+  list.reserve(services.size());
+  for (const auto id : services)
+    list.push_back({id, pool_.usable_slots(now, id), pool_.outstanding(id),
+                    static_cast<std::uint32_t>(queued(id)), pool_.service_time(id)});
+  return list;
+}
+
+dispatch_queue::service_queue& dispatch_queue::queue_of(time_point now, service_id service) {
+  return queues_.try_emplace(service, service_queue{{}, now}).first->second;
+}
+
+std::optional<reject_reason> dispatch_queue::refusal(time_point now, const work& request,
+                                                     const service_queue& queue) const {
+  if (running_.count(request.key) > 0 || waiting_index_.count(request.key) > 0)
+    return reject_reason::duplicate;
+  if (now >= request.deadline) return reject_reason::expired;
+  const auto slots = pool_.usable_slots(now, request.service);
+  const auto bound = std::max(settings_.minimum_queue, settings_.queue_per_slot * slots);
+  if (queue.waiting.size() >= bound) return reject_reason::queue_full;
+  if (slots == 0) {
+    // The upstreams may be about to renew, or another host may lend a slot.
+    if (now - queue.last_upstream >= settings_.no_upstream_grace) return reject_reason::no_upstream;
+    return std::nullopt;
+  }
+  if (queue.waiting.empty() && pool_.free_slots(now, request.service) > 0) return std::nullopt;
+  const auto mean = pool_.service_time(request.service);
+  const auto ahead = static_cast<double>(queue.waiting.size() + 1);
+  const auto needed = scaled(mean, ahead / slots + settings_.service_margin);
+  if (now + needed > request.deadline) return reject_reason::deadline_unreachable;
+  return std::nullopt;
+}
+
+void dispatch_queue::drop_hopeless(time_point now, service_id service, service_queue& queue,
+                                   dispatch_effects& out) {
+  if (pool_.usable_slots(now, service) > 0) queue.last_upstream = now;
+  const bool is_abandoned = now - queue.last_upstream >= settings_.no_upstream_grace;
+  const auto least = scaled(pool_.service_time(service), least_remaining);
+  std::erase_if(queue.waiting, [&](const queued_work& it) {
+    const bool is_late = now + least > it.request.deadline || now >= it.request.deadline;
+    if (!is_late && !is_abandoned) return false;
+    waiting_index_.erase(it.request.key);
+    out.push_back(
+        reject_work{it.request.key, is_late ? reject_reason::expired : reject_reason::no_upstream});
+    return true;
+  });
+}
+
+void dispatch_queue::dispatch_all(time_point now, dispatch_effects& out) {
+  for (auto& [service, queue] : queues_)
+    if (!queue.waiting.empty()) dispatch(now, service, out);
+  for (const auto service : pool_.services())
+    if (queued(service) == 0) exchange_.serve(now, service, out);
+}
+
+void dispatch_queue::dispatch(time_point now, service_id service, dispatch_effects& out) {
+  auto& queue = queue_of(now, service);
+  if (!queue.waiting.empty()) drop_hopeless(now, service, queue, out);
+  while (!queue.waiting.empty()) {
+    const auto slot = pool_.acquire(now, service);
+    if (!slot) break;
+    start(now, *slot, std::nullopt, queue, out);
+  }
+  if (queue.waiting.empty())
+    exchange_.serve(now, service, out);
+  else
+    exchange_.ask(now, service, queue.waiting.size(), out);
+}
+
+void dispatch_queue::start(time_point now, const upstream_slot& slot,
+                           const std::optional<slot_exchange::borrowed>& loan, service_queue& queue,
+                           dispatch_effects& out) {
+  const auto next = queue.waiting.front().request;
+  queue.waiting.pop_front();
+  waiting_index_.erase(next.key);
+  out.push_back(start_work{next.key, slot, loan.has_value()});
+  running_.emplace(next.key, running_work{slot, now, loan});
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/balance/slot_exchange.cpp
@@ -0,0 +1,229 @@
+#include "zinniarelay/balance/slot_exchange.h"
+
+#include <algorithm>
+
+namespace zinnia {
+namespace {
+
+host_id sender(const wire::peer_packet& packet) {
+  return host_id{packet.from_host()};
+}
+
+incarnation_id sender_incarnation(const wire::peer_packet& packet) {
+  return incarnation_id{packet.from_incarnation()};
+}
+
+} // namespace
+
+slot_exchange::slot_exchange(slot_exchange_settings settings, upstream_pool& pool,
+                             lender_choice choose, std::uint64_t seed)
+    : settings_(settings), pool_(pool), choose_(std::move(choose)), next_sequence_(seed | 1U),
+      next_grant_(seed | 1U) {}
+
+std::size_t slot_exchange::in_flight(service_id service) const {
+  return static_cast<std::size_t>(
+      std::count_if(requests_.begin(), requests_.end(),
+                    [&](const auto& it) { return it.second.service == service; }));
+}
+
+void slot_exchange::ask(time_point now, service_id service, std::size_t wanted,
+                        dispatch_effects& out) {
+  if (!choose_) return;
+  const auto limit = std::min<std::size_t>(wanted, settings_.requests_in_flight);
+  for (auto n = in_flight(service); n < limit; ++n) {
+    const auto lender = choose_(now, service);
+    if (!lender) return;
+    const request it{service, *lender, now, now, 1};
+    send_request(next_sequence_, it, out);
+    requests_.emplace(next_sequence_++, it);
+  }
+}
+
+std::optional<slot_exchange::borrowed>
+slot_exchange::on_message(time_point now, const wire::peer_packet& packet, dispatch_effects& out) {
+  switch (packet.body_case()) {
+  case wire::peer_packet::kSlotAsk:
+    if (packet.slot_ask().grant() != 0)
+      renew(now, packet);
+    else
+      on_request(now, packet, out);
+    return std::nullopt;
+  case wire::peer_packet::kSlotGiven:
+    return on_grant(now, packet, out);
+  case wire::peer_packet::kSlotReturned:
+    on_release(now, packet);
+    return std::nullopt;
+  default:
+    return std::nullopt;
+  }
+}
+
+void slot_exchange::on_request(time_point now, const wire::peer_packet& packet,
+                               dispatch_effects& out) {
+  const auto& ask = packet.slot_ask();
+  for (const auto& [grant, it] : lent_) {
+    if (it.borrower != sender(packet) || it.sequence != ask.sequence() ||
+        it.borrower_incarnation != sender_incarnation(packet))
+      continue;
+    // The first grant was lost.
+    send_grant(grant, it, out);
+    return;
+  }
+  const auto expires = now + settings_.answer_timeout;
+  for (auto& it : waiting_) {
+    if (it.borrower != sender(packet) || it.sequence != ask.sequence()) continue;
+    it.expires = expires;
+    return;
+  }
+  if (waiting_.size() >= settings_.waiting_requests) return;
+  waiting_.push_back({sender(packet), sender_incarnation(packet), ask.sequence(),
+                      service_id{ask.service_id()}, expires});
+}
+
+void slot_exchange::renew(time_point now, const wire::peer_packet& packet) {
+  const auto lent = lent_.find(packet.slot_ask().grant());
+  if (lent != lent_.end() && lent->second.borrower == sender(packet)) lent->second.renewed = now;
+}
+
+void slot_exchange::serve(time_point now, service_id service, dispatch_effects& out) {
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    if (now >= at->expires) {
+      at = waiting_.erase(at);
+      continue;
+    }
+    if (at->service != service) {
+      ++at;
+      continue;
+    }
+    const auto slot = pool_.acquire(now, service);
+    if (!slot) return;
+    const auto valid = std::chrono::duration_cast<milliseconds>(slot->valid_until - now);
+    const lent_slot it{at->borrower, at->borrower_incarnation, at->sequence, *slot, valid, now};
+    send_grant(next_grant_, it, out);
+    lent_.emplace(next_grant_++, it);
+    at = waiting_.erase(at);
+  }
+}
+
+std::optional<slot_exchange::borrowed>
+slot_exchange::on_grant(time_point now, const wire::peer_packet& packet, dispatch_effects& out) {
+  const auto& given = packet.slot_given();
+  const auto lender = sender(packet);
+  if (borrowed_.count({lender, given.grant()}) > 0) return std::nullopt;
+  const auto asked = requests_.find(given.sequence());
+  const auto address = endpoint::parse(given.upstream_address());
+  if (asked == requests_.end() || asked->second.lender != lender || !address) {
+    // This host has given up on the request, so the lender must not wait for the slot.
+    send_release(lender, given.grant(), call_result::unused, microseconds{0}, out);
+    return std::nullopt;
+  }
+  // The lender granted after the request was sent, so counting its lease from the sending
+  // ends it early and compares no clocks.
+  const auto valid_until = asked->second.first_sent + milliseconds(given.valid_ms());
+  const borrowed loan{lender, given.grant(),
+                      upstream_slot{asked->second.service,
+                                    incarnation_id{given.upstream_incarnation()}, address.value(),
+                                    0, valid_until},
+                      now + settings_.renew_period};
+  requests_.erase(asked);
+  if (now >= valid_until) {
+    send_release(lender, given.grant(), call_result::unused, microseconds{0}, out);
+    return std::nullopt;
+  }
+  borrowed_.emplace(std::pair{lender, given.grant()}, loan);
+  return loan;
+}
+
+void slot_exchange::on_release(time_point now, const wire::peer_packet& packet) {
+  const auto& returned = packet.slot_returned();
+  const auto lent = lent_.find(returned.grant());
+  if (lent == lent_.end() || lent->second.borrower != sender(packet)) return;
+  const auto result = returned.failed()           ? call_result::failed
+                      : returned.service_ms() > 0 ? call_result::completed
+                                                  : call_result::unused;
+  pool_.release(now, lent->second.slot, result, milliseconds(returned.service_ms()));
+  lent_.erase(lent);
+}
+
+void slot_exchange::give_back(const borrowed& it, call_result result, microseconds held,
+                              dispatch_effects& out) {
+  borrowed_.erase({it.lender, it.grant});
+  send_release(it.lender, it.grant, result, held, out);
+}
+
+void slot_exchange::tick(time_point now, dispatch_effects& out) {
+  for (auto at = requests_.begin(); at != requests_.end();) {
+    auto& it = at->second;
+    if (now - it.last_sent < settings_.answer_timeout) {
+      ++at;
+    } else if (it.sent >= settings_.attempts) {
+      at = requests_.erase(at);
+    } else {
+      ++it.sent;
+      it.last_sent = now;
+      send_request(at->first, it, out);
+      ++at;
+    }
+  }
+  for (auto& [key, it] : borrowed_) {
+    if (now < it.next_renewal) continue;
+    it.next_renewal = now + settings_.renew_period;
+    wire::peer_packet packet;
+    packet.mutable_slot_ask()->set_service_id(it.slot.service.value);
+    packet.mutable_slot_ask()->set_grant(it.grant);
+    out.push_back(send_slot_message{it.lender, std::move(packet)});
+  }
+  std::erase_if(lent_, [&](const auto& it) {
+    if (now - it.second.renewed < settings_.grant_lease) return false;
+    pool_.release(now, it.second.slot, call_result::abandoned, microseconds{0});
+    return true;
+  });
+  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
+}
+
+void slot_exchange::on_host_gone(time_point now, host_id host) {
+  std::erase_if(lent_, [&](const auto& it) {
+    if (it.second.borrower != host) return false;
+    pool_.release(now, it.second.slot, call_result::abandoned, microseconds{0});
+    return true;
+  });
+  std::erase_if(waiting_, [&](const auto& it) { return it.borrower == host; });
+  std::erase_if(requests_, [&](const auto& it) { return it.second.lender == host; });
+}
+
+void slot_exchange::send_request(std::uint64_t sequence, const request& it,
+                                 dispatch_effects& out) const {
+  wire::peer_packet packet;
+  packet.mutable_slot_ask()->set_service_id(it.service.value);
+  packet.mutable_slot_ask()->set_sequence(sequence);
+  out.push_back(send_slot_message{it.lender, std::move(packet)});
+}
+
+void slot_exchange::send_grant(std::uint64_t grant, const lent_slot& it,
+                               dispatch_effects& out) const {
+  wire::peer_packet packet;
+  auto& body = *packet.mutable_slot_given();
+  body.set_sequence(it.sequence);
+  body.set_service_id(it.slot.service.value);
+  body.set_granted(true);
+  body.set_upstream_incarnation(it.slot.incarnation.value);
+  body.set_upstream_address(it.slot.address.to_string());
+  body.set_grant(grant);
+  body.set_valid_ms(static_cast<std::uint32_t>(it.valid.count()));
+  out.push_back(send_slot_message{it.borrower, std::move(packet)});
+}
+
+void slot_exchange::send_release(host_id lender, std::uint64_t grant, call_result result,
+                                 microseconds held, dispatch_effects& out) const {
+  wire::peer_packet packet;
+  auto& body = *packet.mutable_slot_returned();
+  body.set_grant(grant);
+  body.set_failed(result == call_result::failed);
+  // A time of 0 tells the lender that the slot was not used.
+  if (result == call_result::completed)
+    body.set_service_ms(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(1, std::chrono::round<milliseconds>(held).count())));
+  out.push_back(send_slot_message{lender, std::move(packet)});
+}
+
+} // namespace zinnia
