--- a/utilities/common/generated_content.h
+++ b/utilities/common/generated_content.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "zinniarelay/request/content_digest.h"
+
 #include <sodium.h>
 
 #include <algorithm>
@@ -9,14 +11,6 @@
 
 namespace zinnia::utilities {
 
-/// BLAKE2b-128, as schema/caller.proto uses it.
-inline std::string digest_of(std::string_view data) {
-  std::string digest(16, '\0');
-  crypto_generichash(reinterpret_cast<unsigned char*>(digest.data()), digest.size(),
-                     reinterpret_cast<const unsigned char*>(data.data()), data.size(), nullptr, 0);
-  return digest;
-}
-
 inline std::string to_hex(std::string_view data) {
   std::string out(data.size() * 2 + 1, '\0');
   sodium_bin2hex(out.data(), out.size(), reinterpret_cast<const unsigned char*>(data.data()),
@@ -89,7 +83,7 @@
     if (it < '0' || it > '9' || size > largest) break;
     size = size * 10 + static_cast<std::uint64_t>(it - '0');
   }
-  auto head = service + ' ' + method + ' ' + to_hex(digest_of(payload)) + '\n';
+  auto head = service + ' ' + method + ' ' + to_hex(content_digest(payload)) + '\n';
   const auto rest = std::min(size, largest) - std::min<std::uint64_t>(size, head.size());
   return head + generated_content(head, rest).bytes(0, rest);
 }
--- a/utilities/upstream/request_journal.cpp
+++ b/utilities/upstream/request_journal.cpp
@@ -20,7 +20,7 @@
                           const std::string& payload) {
   std::ostringstream line;
   line << std::hex << std::setw(16) << std::setfill('0') << flow << std::dec << ' ' << number << ' '
-       << method << ' ' << to_hex(digest_of(payload)) << '\n';
+       << method << ' ' << to_hex(content_digest(payload)) << '\n';
   const std::lock_guard lock(mutex_);
   out_ << line.str() << std::flush;
 }
