replication, control: replicated log, control state and zinnia-controld

Each data folder has a random identity that the leader records with the member, so that an emptied folder under a known id counts neither for votes nor for copies.

--- /dev/null
+++ b/include/zinniarelay/replication/raft_log.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "control.pb.h"
+#include "zinniarelay/replication/raft_membership.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace zinnia {
+
+/// The entries of the log after its base, and the snapshot that replaces what
+/// came earlier. Some entries that the snapshot covers are kept, so that a member
+/// that lags by a few entries needs no snapshot.
+class raft_log {
+public:
+  raft_log() = default;
+  raft_log(std::shared_ptr<const wire::stored_snapshot> snapshot,
+           std::vector<wire::log_entry> entries);
+
+  std::uint64_t last_index() const { return base_index_ + entries_.size(); }
+  std::uint64_t last_term() const;
+  std::uint64_t base_index() const { return base_index_; }
+  std::uint64_t snapshot_index() const { return snapshot_ ? snapshot_->last_index() : 0; }
+  const std::shared_ptr<const wire::stored_snapshot>& snapshot() const { return snapshot_; }
+
+  /// No value for an index before the base or after the end.
+  std::optional<std::uint64_t> term_at(std::uint64_t index) const;
+  const wire::log_entry& at(std::uint64_t index) const;
+  /// The first index of the run of equal terms that holds an index.
+  std::uint64_t first_of_term(std::uint64_t index) const;
+
+  void append(wire::log_entry entry);
+  /// Drops the entry of an index and all after it.
+  void truncate_from(std::uint64_t index);
+  /// Replaces everything up to the snapshot's last index, except for the given
+  /// number of entries before it.
+  void compact(std::shared_ptr<const wire::stored_snapshot> snapshot, std::uint64_t retained);
+  /// Takes a snapshot from the leader; later entries are kept if they continue it.
+  void install(std::shared_ptr<const wire::stored_snapshot> snapshot);
+
+  std::vector<wire::log_entry> entries_from(std::uint64_t index, std::size_t max_bytes) const;
+  std::vector<wire::log_entry> all_entries() const { return {entries_.begin(), entries_.end()}; }
+
+  /// The latest members in the log, committed or not, and the index they date from.
+  const raft_membership& membership() const;
+  std::uint64_t membership_index() const;
+  raft_membership membership_at(std::uint64_t index) const;
+
+private:
+  void note_membership(const wire::log_entry& entry);
+
+  std::shared_ptr<const wire::stored_snapshot> snapshot_;
+  std::uint64_t base_index_ = 0;
+  std::uint64_t base_term_ = 0;
+  std::deque<wire::log_entry> entries_;
+  std::map<std::uint64_t, raft_membership> memberships_;
+};
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/replication/control_state.cpp
@@ -0,0 +1,368 @@
+#include "zinniarelay/replication/control_state.h"
+
+#include "zinniarelay/config/configuration_difference.h"
+#include "zinniarelay/core/endpoint.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <xxhash.h>
+
+namespace zinnia {
+namespace {
+
+using action_case = wire::control_command::ActionCase;
+
+std::string action_name(const wire::control_command& command) {
+  switch (command.action_case()) {
+  case action_case::kApply:
+    return "apply";
+  case action_case::kDrain:
+    return command.drain().active() ? "drain" : "end drain";
+  case action_case::kMembers:
+    return "change members";
+  case action_case::kRefused:
+    return "refused";
+  case action_case::ACTION_NOT_SET:
+    break;
+  }
+  return "none";
+}
+
+// The author and the time differ between an operation and its retry, so that
+// only the action tells whether the two are the same.
+std::uint64_t content_digest(const wire::control_command& command) {
+  auto content = command;
+  content.clear_operation_id();
+  content.clear_author();
+  content.clear_time_ms();
+  const auto bytes = content.SerializeAsString();
+  return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+std::string describe_drain(const wire::drain_entry& it) {
+  return std::string(it.kind() == wire::drain_entry::host ? "host " : "upstream ") +
+         std::to_string(it.target()) + (it.active() ? " draining" : " not draining");
+}
+
+bool is_same(const wire::service_declaration& a, const wire::service_declaration& b) {
+  return a.SerializeAsString() == b.SerializeAsString();
+}
+
+// The refusals that the replicated state itself needs; the complete checks of a
+// declaration run before it is proposed.
+std::string defect_of(const wire::apply_action& action) {
+  std::set<std::string> names;
+  std::unordered_set<endpoint> addresses;
+  for (const auto& it : action.services()) {
+    if (it.name().empty()) return "a service has no name";
+    if (!names.insert(it.name()).second) return "service " + it.name() + " is declared twice";
+    const auto address = endpoint::parse(it.address());
+    if (!address.has_value())
+      return "service " + it.name() + ": address '" + it.address() + "' is not ip:port";
+    if (!addresses.insert(address.value()).second)
+      return "service " + it.name() + ": address " + it.address() + " is declared twice";
+  }
+  return {};
+}
+
+} // namespace
+
+wire::operation_result control_state::apply(std::uint64_t index,
+                                            const wire::control_command& command) {
+  const auto digest = content_digest(command);
+  if (const auto* first = find_result(command.operation_id())) {
+    if (first->content_digest() == digest) return *first;
+    wire::operation_result reused;
+    reused.set_operation_id(command.operation_id());
+    reused.set_revision(revision_);
+    reused.set_cause("operation identifier was used before for another operation");
+    reused.set_content_digest(digest);
+    record(index, command, reused, revision_, {});
+    return reused;
+  }
+
+  const auto revision_before = revision_;
+  change seen;
+  switch (command.action_case()) {
+  case action_case::kApply:
+    seen = apply(command.apply());
+    break;
+  case action_case::kDrain:
+    seen = apply(command.drain());
+    break;
+  case action_case::kMembers:
+    seen.before.assign(command.members().before().begin(), command.members().before().end());
+    seen.after.assign(command.members().after().begin(), command.members().after().end());
+    break;
+  case action_case::kRefused:
+    seen.refusal = command.refused();
+    break;
+  case action_case::ACTION_NOT_SET:
+    seen.refusal = "the operation has no action";
+    break;
+  }
+
+  wire::operation_result result;
+  result.set_operation_id(command.operation_id());
+  result.set_accepted(seen.refusal.empty());
+  result.set_revision(revision_);
+  result.set_cause(seen.refusal);
+  result.set_stale_base(seen.is_stale);
+  result.set_content_digest(digest);
+  record(index, command, result, revision_before, std::move(seen));
+  remember(result);
+  return result;
+}
+
+control_state::change control_state::apply(const wire::apply_action& action) {
+  change seen;
+  if (action.base_revision() != revision_) {
+    seen.refusal = "based on revision " + std::to_string(action.base_revision()) +
+                   ", but the current revision is " + std::to_string(revision_);
+    seen.is_stale = true;
+    return seen;
+  }
+  seen.refusal = defect_of(action);
+  if (!seen.refusal.empty()) return seen;
+
+  std::set<std::string> declared;
+  for (const auto& it : action.services())
+    declared.insert(it.name());
+  std::vector<std::uint32_t> gone;
+  for (const auto& [name, id] : by_name_)
+    if (declared.count(name) == 0) gone.push_back(id);
+  std::vector<const wire::service_declaration*> changed;
+  for (const auto& it : action.services()) {
+    const auto known = by_name_.find(it.name());
+    if (known == by_name_.end() || !is_same(services_.at(known->second).declaration(), it))
+      changed.push_back(&it);
+  }
+  if (gone.empty() && changed.empty()) return seen;
+
+  ++revision_;
+  for (const auto id : gone)
+    remove(id, seen);
+  for (const auto* it : changed) {
+    const auto known = by_name_.find(it->name());
+    put(*it, known == by_name_.end() ? 0 : known->second, seen);
+  }
+  forget_old_removals();
+  last_digest_ = digest_of(revision_, sum_of_items_);
+  return seen;
+}
+
+control_state::change control_state::apply(const wire::drain_entry& action) {
+  change seen;
+  if (action.target() == 0) {
+    seen.refusal = "the drain names no target";
+    return seen;
+  }
+  const auto known = drains_.find({action.kind(), action.target()});
+  const bool was_active = known != drains_.end() && known->second.active();
+  if (was_active == action.active()) return seen;
+  auto before = action;
+  before.set_active(was_active);
+  seen.before.push_back(describe_drain(before));
+  seen.after.push_back(describe_drain(action));
+
+  ++revision_;
+  auto entry = action;
+  entry.set_modified_revision(revision_);
+  store(std::move(entry));
+  forget_old_removals();
+  last_digest_ = digest_of(revision_, sum_of_items_);
+  return seen;
+}
+
+void control_state::put(const wire::service_declaration& declared, std::uint32_t id, change& seen) {
+  wire::service_entry entry;
+  if (id != 0) {
+    const auto& before = services_.at(id);
+    seen.before.push_back(describe(before.declaration()));
+    entry.set_id(id);
+    // A token sealed for the old address must not match the service that holds
+    // that address next (P2), so that each holder has its own generation.
+    entry.set_generation(before.declaration().address() == declared.address() ? before.generation()
+                                                                              : next_generation_++);
+  } else {
+    entry.set_id(next_service_id_++);
+    entry.set_generation(next_generation_++);
+  }
+  entry.set_modified_revision(revision_);
+  *entry.mutable_declaration() = declared;
+  seen.after.push_back(describe(declared));
+  store(std::move(entry));
+}
+
+void control_state::remove(std::uint32_t id, change& seen) {
+  const auto it = services_.find(id);
+  seen.before.push_back(describe(it->second.declaration()));
+  sum_of_items_ -= digest_of(it->second);
+  by_revision_.erase({it->second.modified_revision(), id});
+  by_name_.erase(it->second.declaration().name());
+  services_.erase(it);
+  wire::removed_service removed;
+  removed.set_id(id);
+  removed.set_removed_revision(revision_);
+  removed_.push_back(removed);
+}
+
+void control_state::store(wire::service_entry entry) {
+  const auto id = entry.id();
+  if (const auto old = services_.find(id); old != services_.end()) {
+    sum_of_items_ -= digest_of(old->second);
+    by_revision_.erase({old->second.modified_revision(), id});
+  }
+  sum_of_items_ += digest_of(entry);
+  by_revision_.insert({entry.modified_revision(), id});
+  by_name_[entry.declaration().name()] = id;
+  services_[id] = std::move(entry);
+}
+
+void control_state::store(wire::drain_entry entry) {
+  auto& slot = drains_[{entry.kind(), entry.target()}];
+  sum_of_items_ -= digest_of(slot);
+  sum_of_items_ += digest_of(entry);
+  slot = std::move(entry);
+}
+
+void control_state::forget_old_removals() {
+  while (removed_.size() > kept_removals) {
+    oldest_delta_base_ = std::max(oldest_delta_base_, removed_.front().removed_revision());
+    removed_.pop_front();
+  }
+  std::vector<std::pair<std::uint64_t, drain_key>> ended;
+  for (const auto& [key, drain] : drains_)
+    if (!drain.active()) ended.emplace_back(drain.modified_revision(), key);
+  if (ended.size() <= kept_removals) return;
+  const auto [revision, key] = *std::min_element(ended.begin(), ended.end());
+  oldest_delta_base_ = std::max(oldest_delta_base_, revision);
+  drains_.erase(key);
+}
+
+void control_state::record(std::uint64_t index, const wire::control_command& command,
+                           const wire::operation_result& result, std::uint64_t revision_before,
+                           change seen) {
+  wire::audit_record entry;
+  entry.set_index(index);
+  entry.set_time_ms(command.time_ms());
+  entry.set_author(command.author());
+  entry.set_operation_id(command.operation_id());
+  entry.set_action(action_name(command));
+  entry.set_accepted(result.accepted());
+  entry.set_cause(result.cause());
+  entry.set_revision_before(revision_before);
+  entry.set_revision_after(revision_);
+  for (auto& line : seen.before)
+    entry.add_before(std::move(line));
+  for (auto& line : seen.after)
+    entry.add_after(std::move(line));
+  audit_.push_back(std::move(entry));
+  if (audit_.size() > kept_records) audit_.pop_front();
+}
+
+void control_state::remember(wire::operation_result result) {
+  result_order_.push_back(result.operation_id());
+  results_[result.operation_id()] = std::move(result);
+  if (result_order_.size() <= kept_records) return;
+  results_.erase(result_order_.front());
+  result_order_.pop_front();
+}
+
+const wire::operation_result* control_state::find_result(const std::string& operation_id) const {
+  const auto it = results_.find(operation_id);
+  return it == results_.end() ? nullptr : &it->second;
+}
+
+std::uint64_t control_state::digest() const {
+  return revision_ == 0 ? digest_of(std::uint64_t{0}, 0) : last_digest_;
+}
+
+wire::configuration control_state::complete() const {
+  wire::configuration out;
+  out.set_revision(revision_);
+  out.set_digest(digest());
+  for (const auto& [id, entry] : services_)
+    *out.add_services() = entry;
+  for (const auto& [key, drain] : drains_)
+    if (drain.active()) *out.add_drains() = drain;
+  return out;
+}
+
+wire::configuration control_state::changes_since(std::uint64_t revision,
+                                                 std::uint64_t digest) const {
+  wire::configuration out;
+  out.set_revision(revision_);
+  out.set_digest(this->digest());
+  out.set_base_revision(revision);
+  if (revision > revision_) return out;
+  if (revision == revision_ && (revision == 0 || digest == this->digest())) return out;
+  if (revision < oldest_delta_base_ || revision == revision_) return complete();
+
+  const std::pair<std::uint64_t, std::uint32_t> first{revision + 1, 0};
+  std::for_each(by_revision_.lower_bound(first), by_revision_.end(),
+                [&](const auto& it) { *out.add_services() = services_.at(it.second); });
+  for (auto it = removed_.rbegin(); it != removed_.rend(); ++it) {
+    if (it->removed_revision() <= revision) break;
+    *out.add_removed() = *it;
+  }
+  for (const auto& [key, drain] : drains_)
+    if (drain.modified_revision() > revision) *out.add_drains() = drain;
+  return out;
+}
+
+std::vector<wire::audit_record> control_state::audit(std::uint64_t after_index,
+                                                     std::size_t limit) const {
+  auto it = std::upper_bound(
+      audit_.begin(), audit_.end(), after_index,
+      [](std::uint64_t index, const auto& record) { return index < record.index(); });
+  std::vector<wire::audit_record> out;
+  for (; it != audit_.end() && out.size() < limit; ++it)
+    out.push_back(*it);
+  return out;
+}
+
+std::string control_state::encode() const {
+  wire::control_snapshot out;
+  auto& held = *out.mutable_configuration();
+  held = complete();
+  for (const auto& it : removed_)
+    *held.add_removed() = it;
+  for (const auto& [key, drain] : drains_)
+    if (!drain.active()) *held.add_drains() = drain;
+  out.set_next_service_id(next_service_id_);
+  out.set_next_generation(next_generation_);
+  out.set_oldest_delta_base(oldest_delta_base_);
+  for (const auto& id : result_order_)
+    *out.add_results() = results_.at(id);
+  for (const auto& it : audit_)
+    *out.add_audit() = it;
+  return out.SerializeAsString();
+}
+
+result<control_state> control_state::decode(std::string_view bytes) {
+  wire::control_snapshot in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return failure(error_kind::corrupted, "snapshot", "not a control_snapshot message");
+  control_state out;
+  out.revision_ = in.configuration().revision();
+  out.next_service_id_ = in.next_service_id();
+  out.next_generation_ = in.next_generation();
+  out.oldest_delta_base_ = in.oldest_delta_base();
+  for (auto& it : *in.mutable_configuration()->mutable_services())
+    out.store(std::move(it));
+  for (auto& it : *in.mutable_configuration()->mutable_drains())
+    out.store(std::move(it));
+  for (auto& it : *in.mutable_configuration()->mutable_removed())
+    out.removed_.push_back(std::move(it));
+  for (auto& it : *in.mutable_results())
+    out.remember(std::move(it));
+  for (auto& it : *in.mutable_audit())
+    out.audit_.push_back(std::move(it));
+  out.last_digest_ = digest_of(out.revision_, out.sum_of_items_);
+  if (out.digest() != in.configuration().digest())
+    return failure(error_kind::corrupted, "snapshot", "digest of its configuration differs");
+  return out;
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/replication/log_store.cpp
@@ -0,0 +1,157 @@
+#include "zinniarelay/replication/log_store.h"
+
+#include <cstring>
+#include <xxhash.h>
+
+namespace zinnia {
+namespace {
+
+constexpr const char* identity_file = "identity";
+constexpr const char* snapshot_file = "snapshot";
+constexpr const char* log_file = "log";
+
+// A frame is the mark, the length of its payload, the XXH64 of the payload and
+// the payload. One append is one frame, so that a crash during an append damages
+// only the last frame.
+constexpr std::uint32_t frame_mark = 0x31474C5A;
+constexpr std::size_t header_size = 16; // bytes
+
+std::string frame_of(const std::string& payload) {
+  const auto length = static_cast<std::uint32_t>(payload.size());
+  const std::uint64_t sum = XXH64(payload.data(), payload.size(), length);
+  std::string out(header_size, '\0');
+  std::memcpy(out.data(), &frame_mark, sizeof frame_mark);
+  std::memcpy(out.data() + 4, &length, sizeof length);
+  std::memcpy(out.data() + 8, &sum, sizeof sum);
+  return out + payload;
+}
+
+// The payload of the frame that starts at a byte, if it is whole.
+std::optional<std::string_view> payload_at(std::string_view content, std::size_t at) {
+  if (content.size() - at < header_size) return std::nullopt;
+  std::uint32_t mark = 0;
+  std::uint32_t length = 0;
+  std::uint64_t sum = 0;
+  std::memcpy(&mark, content.data() + at, sizeof mark);
+  std::memcpy(&length, content.data() + at + 4, sizeof length);
+  std::memcpy(&sum, content.data() + at + 8, sizeof sum);
+  if (mark != frame_mark || content.size() - at - header_size < length) return std::nullopt;
+  const auto payload = content.substr(at + header_size, length);
+  if (XXH64(payload.data(), payload.size(), length) != sum) return std::nullopt;
+  return payload;
+}
+
+bool has_frame_after(std::string_view content, std::size_t at) {
+  std::string_view mark(reinterpret_cast<const char*>(&frame_mark), sizeof frame_mark);
+  for (at = content.find(mark, at + 1); at != std::string_view::npos;
+       at = content.find(mark, at + 1))
+    if (payload_at(content, at)) return true;
+  return false;
+}
+
+auto corrupted(const std::string& file, std::size_t at, const std::string& cause) {
+  return failure(error_kind::corrupted, file + ": byte " + std::to_string(at), cause);
+}
+
+// A file that is replaced as a whole is one frame.
+template <class Message>
+result<std::optional<Message>> read_message(const storage& files, const std::string& name) {
+  ZINNIA_TRY(content, files.read(name));
+  if (!content) return std::optional<Message>();
+  const auto payload = payload_at(*content, 0);
+  if (!payload || payload->size() + header_size != content->size())
+    return corrupted(name, 0, "wrong checksum or length");
+  Message out;
+  if (!out.ParseFromArray(payload->data(), static_cast<int>(payload->size())))
+    return corrupted(name, header_size, "not a readable message");
+  return std::optional<Message>(std::move(out));
+}
+
+result<void> take_frame(std::string_view payload, std::size_t at,
+                        std::vector<wire::log_entry>& entries) {
+  wire::log_frame frame;
+  if (!frame.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
+    return corrupted(log_file, at, "not a readable frame");
+  for (auto& it : *frame.mutable_entries()) {
+    const auto next = entries.empty() ? it.index() : entries.back().index() + 1;
+    if (it.index() > next || (!entries.empty() && it.index() < entries.front().index()))
+      return corrupted(log_file, at,
+                       "entry " + std::to_string(it.index()) + " follows entry " +
+                           std::to_string(next - 1));
+    entries.resize(entries.size() - (next - it.index()));
+    entries.push_back(std::move(it));
+  }
+  return success();
+}
+
+// A crash between writing a snapshot and the log leaves the log as it was. Its
+// entries count only if they continue the snapshot.
+result<void> fit_to_snapshot(const wire::stored_snapshot& snapshot,
+                             std::vector<wire::log_entry>& entries) {
+  if (entries.empty()) return success();
+  const auto first = entries.front().index();
+  if (first == snapshot.last_index() + 1) return success();
+  if (first > snapshot.last_index())
+    return corrupted(log_file, 0,
+                     "starts at entry " + std::to_string(first) + ", the snapshot ends at " +
+                         std::to_string(snapshot.last_index()));
+  const auto at = snapshot.last_index() - first;
+  if (at >= entries.size() || entries[at].term() != snapshot.last_term()) entries.clear();
+  return success();
+}
+
+} // namespace
+
+result<stored_state> log_store::load() {
+  stored_state out;
+  ZINNIA_TRY(identity, read_message<wire::node_identity>(*files_, identity_file));
+  out.identity = std::move(identity);
+  ZINNIA_TRY(snapshot, read_message<wire::stored_snapshot>(*files_, snapshot_file));
+  if (snapshot) out.snapshot = std::make_shared<const wire::stored_snapshot>(std::move(*snapshot));
+
+  ZINNIA_TRY(log, files_->read(log_file));
+  std::string_view content;
+  if (log) content = *log;
+  std::size_t at = 0;
+  while (at < content.size()) {
+    const auto payload = payload_at(content, at);
+    if (!payload) {
+      if (has_frame_after(content, at))
+        return corrupted(log_file, at, "damaged entries are followed by intact ones");
+      out.cut_bytes = content.size() - at;
+      ZINNIA_TRY(files_->replace(log_file, std::string(content.substr(0, at))));
+      break;
+    }
+    ZINNIA_TRY(take_frame(*payload, at, out.entries));
+    at += header_size + payload->size();
+  }
+  if (out.snapshot) {
+    ZINNIA_TRY(fit_to_snapshot(*out.snapshot, out.entries));
+  } else if (!out.entries.empty() && out.entries.front().index() != 1) {
+    return corrupted(log_file, 0, "entries before the first are missing, and so is the snapshot");
+  }
+  if (!out.identity && (out.snapshot || !out.entries.empty()))
+    return corrupted(identity_file, 0, "is missing beside a log");
+  return out;
+}
+
+result<void> log_store::write_identity(const wire::node_identity& identity) {
+  return files_->replace(identity_file, frame_of(identity.SerializeAsString()));
+}
+
+result<void> log_store::append(const std::vector<wire::log_entry>& entries) {
+  wire::log_frame frame;
+  frame.mutable_entries()->Assign(entries.begin(), entries.end());
+  return files_->append(log_file, frame_of(frame.SerializeAsString()));
+}
+
+result<void> log_store::write_snapshot(const wire::stored_snapshot& snapshot,
+                                       const std::vector<wire::log_entry>& entries) {
+  ZINNIA_TRY(files_->replace(snapshot_file, frame_of(snapshot.SerializeAsString())));
+  if (entries.empty()) return files_->replace(log_file, "");
+  wire::log_frame frame;
+  frame.mutable_entries()->Assign(entries.begin(), entries.end());
+  return files_->replace(log_file, frame_of(frame.SerializeAsString()));
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/services/controld/control_server.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "zinniarelay/control/control_host.h"
+
+#include <memory>
+#include <string>
+
+namespace zinnia::controld {
+
+/// Serves a control_host by gRPC and carries its messages to the other members.
+class control_server {
+public:
+  /// Fails with error_kind::io when the address cannot be bound.
+  static result<std::unique_ptr<control_server>> start(control_host host,
+                                                       const std::string& address);
+
+  virtual ~control_server() = default;
+
+  /// Advances time and returns the fault that the process must stop for.
+  virtual std::optional<error> tick() = 0;
+  virtual void stop() = 0;
+};
+
+} // namespace zinnia::controld
--- /dev/null
+++ b/services/controld/main.cpp
@@ -0,0 +1,109 @@
+#include "control_server.h"
+#include "zinniarelay/config/control_settings.h"
+#include "zinniarelay/replication/file_storage.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <glog/logging.h>
+#include <iostream>
+#include <random>
+
+namespace {
+
+using namespace zinnia;
+
+constexpr milliseconds tick_interval{20};
+
+random_engine seeded_engine() {
+  std::random_device device;
+  return random_engine((std::uint64_t{device()} << 32U) | device());
+}
+
+int report(const error& value) {
+  std::cerr << "zinnia-controld: " << value << std::endl;
+  return 1;
+}
+
+sigset_t stop_signals() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGTERM);
+  return set;
+}
+
+wire::control_member member_of(control_id id, endpoint address, zone_id zone) {
+  wire::control_member out;
+  out.set_id(id.value);
+  out.set_address(address.to_string());
+  out.set_zone(zone.value);
+  return out;
+}
+
+control_host_settings host_settings_of(const control_settings& settings) {
+  control_host_settings out;
+  out.self = member_of(settings.control(), settings.address(), settings.availability_zone());
+  out.cluster = settings.cluster();
+  for (const auto& it : settings.founding_members())
+    out.founders.push_back(member_of(it.id, it.address, it.zone));
+  return out;
+}
+
+int serve(const control_host_settings& settings, storage& files) {
+  // Blocked before any thread starts, so that only the loop below receives them.
+  const auto signals = stop_signals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  auto host = control_host::open(files, settings, seeded_engine(), monotonic_now());
+  if (!host.has_value()) return report(host.error());
+  if (host.value().cut_bytes() > 0)
+    LOG(WARNING) << "cut " << host.value().cut_bytes()
+                 << " bytes of an incomplete append from the log";
+  const auto& address = settings.self.address();
+  auto server = controld::control_server::start(std::move(host.value()), address);
+  if (!server.has_value()) return report(server.error());
+  LOG(INFO) << "control host " << settings.self.id() << " serves on " << address;
+  const timespec interval{0, std::chrono::nanoseconds(tick_interval).count()};
+  while (sigtimedwait(&signals, nullptr, &interval) < 0)
+    if (const auto fault = server.value()->tick()) return report(*fault);
+  LOG(INFO) << "stopping";
+  server.value()->stop();
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Control host of zinniarelay: replicated log, operators' requests, distribution");
+  std::string settings_file;
+  bool is_check = false;
+  bool is_founding = false;
+  app.add_option("--settings", settings_file, "settings file in YAML")->required();
+  app.add_flag("--check-settings", is_check, "check the settings file and exit");
+  app.add_flag("--initialize", is_founding,
+               "found a new cluster in an empty data folder and exit; run it once on each "
+               "founding member, and never to replace a lost one");
+  CLI11_PARSE(app, argc, argv);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+
+  const auto settings = control_settings::load(settings_file);
+  if (!settings.has_value()) {
+    for (const auto& it : settings.error())
+      std::cerr << it << std::endl;
+    return 1;
+  }
+  if (is_check) {
+    std::cout << settings_file << ": no findings" << std::endl;
+    return 0;
+  }
+  const auto host_settings = host_settings_of(settings.value());
+  auto files = file_storage::open(settings.value().data_folder().string());
+  if (!files.has_value()) return report(files.error());
+  if (!is_founding) return serve(host_settings, files.value());
+  auto engine = seeded_engine();
+  const auto founded = control_host::initialize(files.value(), host_settings, engine);
+  if (!founded.has_value()) return report(founded.error());
+  std::cout << "founded cluster " << host_settings.cluster << " in "
+            << settings.value().data_folder().string() << std::endl;
+  return 0;
+}
