replication: log carries only what a declaration changes; shorter election retry

Cause: benchmarks/recovery measured 3.6 MB of messages for one changed service among 17,000 with three voters, because a log entry held the whole declaration, and up to 2,340 ms to elect a leader among two of three voters, because two candidates that collide waited a full election timeout again; the bound is 2,000 ms (3 s of P8 less the poll interval of 1 s). Change: the leader reduces a declaration to its difference from the base revision before it proposes it; a digest of the whole declaration still tells a retry from a reused identifier. A candidate without success tries again after a quarter to one election timeout. The audit trail names only changed fields.

--- a/include/zinniarelay/config/configuration_difference.h
+++ b/include/zinniarelay/config/configuration_difference.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <google/protobuf/repeated_ptr_field.h>
 #include <string>
+#include <utility>
 
 namespace zinnia {
 
@@ -17,6 +18,11 @@
 /// One line "name address methods ..." of a declaration, for the audit trail.
 std::string describe(const wire::service_declaration& declaration);
 
+/// The name and the fields in which two declarations of a service differ, before
+/// and after the change.
+std::pair<std::string, std::string> describe_change(const wire::service_declaration& before,
+                                                    const wire::service_declaration& after);
+
 /// What an item of a configuration adds to its digest.
 std::uint64_t digest_of(const wire::service_entry& entry);
 std::uint64_t digest_of(const wire::drain_entry& entry);
--- a/include/zinniarelay/replication/control_state.h
+++ b/include/zinniarelay/replication/control_state.h
@@ -26,6 +26,10 @@
   /// is the first result when the operation identifier was applied before.
   wire::operation_result apply(std::uint64_t index, const wire::control_command& command);
 
+  /// The same action with only what differs from the present state, so that the
+  /// log need not carry every service with each change.
+  wire::apply_action reduced(const wire::apply_action& action) const;
+
   /// Null when no operation of this identifier was applied.
   const wire::operation_result* find_result(const std::string& operation_id) const;
 
--- a/include/zinniarelay/replication/raft_node.h
+++ b/include/zinniarelay/replication/raft_node.h
@@ -153,7 +153,9 @@
   void step_down_without_quorum();
   void hear_from_leader(const wire::raft_message& message, std::uint32_t quorum_age_ms);
   void note_answer(std::uint64_t member, std::uint64_t round);
+  time_point draw_time(microseconds shortest, microseconds longest);
   void schedule_election();
+  void schedule_retry();
   bool may_vote() const;
   bool may_campaign() const;
   bool is_up_to_date(std::uint64_t last_index, std::uint64_t last_term) const;
--- a/libraries/config/configuration_difference.cpp
+++ b/libraries/config/configuration_difference.cpp
@@ -69,6 +69,18 @@
   return out;
 }
 
+std::pair<std::string, std::string> describe_change(const declaration& before,
+                                                    const declaration& after) {
+  std::pair out(before.name(), after.name());
+  for (const auto& each : fields) {
+    const std::pair values(each.read(before), each.read(after));
+    if (values.first == values.second) continue;
+    out.first += std::string(" ") + each.name + '=' + values.first;
+    out.second += std::string(" ") + each.name + '=' + values.second;
+  }
+  return out;
+}
+
 google::protobuf::RepeatedPtrField<wire::difference>
 differences(const wire::configuration& in_force,
             const google::protobuf::RepeatedPtrField<declaration>& declared) {
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <xxhash.h>
 
 namespace zinnia {
 namespace {
@@ -244,8 +245,14 @@
 control_host::submission<wire::apply_reply>
 control_host::apply(time_point now, std::uint64_t wall_ms, const wire::apply_request& request) {
   auto command = command_of(request.operation_id(), request.author(), wall_ms);
-  command.mutable_apply()->set_base_revision(request.base_revision());
-  *command.mutable_apply()->mutable_services() = request.services();
+  wire::apply_action action;
+  action.set_base_revision(request.base_revision());
+  *action.mutable_services() = request.services();
+  // A retry is reduced against another state; the digest of the whole declaration
+  // shows that it is the same operation.
+  const auto bytes = action.SerializeAsString();
+  command.set_content_digest(XXH64(bytes.data(), bytes.size(), 0));
+  *command.mutable_apply() = state_.reduced(action);
   return propose(now, wall_ms, std::move(command));
 }
 
--- a/libraries/replication/control_state.cpp
+++ b/libraries/replication/control_state.cpp
@@ -31,6 +31,7 @@
 // The author and the time differ between an operation and its retry, so that
 // only the action tells whether the two are the same.
 std::uint64_t content_digest(const wire::control_command& command) {
+  if (command.content_digest() != 0) return command.content_digest();
   auto content = command;
   content.clear_operation_id();
   content.clear_author();
@@ -122,35 +123,49 @@
     seen.is_stale = true;
     return seen;
   }
-  seen.refusal = defect_of(action);
+  if (!action.partial()) seen.refusal = defect_of(action);
   if (!seen.refusal.empty()) return seen;
 
-  std::set<std::string> declared;
-  for (const auto& it : action.services())
-    declared.insert(it.name());
+  const auto least = action.partial() ? action : reduced(action);
   std::vector<std::uint32_t> gone;
-  for (const auto& [name, id] : by_name_)
-    if (declared.count(name) == 0) gone.push_back(id);
-  std::vector<const wire::service_declaration*> changed;
-  for (const auto& it : action.services()) {
-    const auto known = by_name_.find(it.name());
-    if (known == by_name_.end() || !is_same(services_.at(known->second).declaration(), it))
-      changed.push_back(&it);
-  }
+  for (const auto& name : least.removed())
+    if (const auto it = by_name_.find(name); it != by_name_.end()) gone.push_back(it->second);
+  const auto& changed = least.services();
   if (gone.empty() && changed.empty()) return seen;
 
   ++revision_;
   for (const auto id : gone)
     remove(id, seen);
-  for (const auto* it : changed) {
-    const auto known = by_name_.find(it->name());
-    put(*it, known == by_name_.end() ? 0 : known->second, seen);
+  for (const auto& it : changed) {
+    const auto known = by_name_.find(it.name());
+    put(it, known == by_name_.end() ? 0 : known->second, seen);
   }
   forget_old_removals();
   last_digest_ = digest_of(revision_, sum_of_items_);
   return seen;
 }
 
+wire::apply_action control_state::reduced(const wire::apply_action& action) const {
+  // A base that is not known here yet may be current when the entry is applied.
+  if (action.partial() || action.base_revision() > revision_) return action;
+  wire::apply_action out;
+  out.set_base_revision(action.base_revision());
+  out.set_partial(true);
+  // Revisions only grow, so that an outdated base is refused whatever it declares.
+  if (action.base_revision() < revision_) return out;
+  if (!defect_of(action).empty()) return action;
+  std::set<std::string> declared;
+  for (const auto& it : action.services()) {
+    declared.insert(it.name());
+    const auto known = by_name_.find(it.name());
+    if (known == by_name_.end() || !is_same(services_.at(known->second).declaration(), it))
+      *out.add_services() = it;
+  }
+  for (const auto& [name, id] : by_name_)
+    if (declared.count(name) == 0) out.add_removed(name);
+  return out;
+}
+
 control_state::change control_state::apply(const wire::drain_entry& action) {
   change seen;
   if (action.target() == 0) {
@@ -178,7 +193,9 @@
   wire::service_entry entry;
   if (id != 0) {
     const auto& before = services_.at(id);
-    seen.before.push_back(describe(before.declaration()));
+    auto [old_fields, new_fields] = describe_change(before.declaration(), declared);
+    seen.before.push_back(std::move(old_fields));
+    seen.after.push_back(std::move(new_fields));
     entry.set_id(id);
     // A token sealed for the old address must not match the service that holds
     // that address next (P2), so that each holder has its own generation.
@@ -187,10 +204,10 @@
   } else {
     entry.set_id(next_service_id_++);
     entry.set_generation(next_generation_++);
+    seen.after.push_back(describe(declared));
   }
   entry.set_modified_revision(revision_);
   *entry.mutable_declaration() = declared;
-  seen.after.push_back(describe(declared));
   store(std::move(entry));
 }
 
--- a/libraries/replication/raft_node.cpp
+++ b/libraries/replication/raft_node.cpp
@@ -38,8 +38,10 @@
     return;
   }
   if (now_ < election_deadline_) return;
-  schedule_election();
-  if (may_campaign()) start_pre_vote();
+  if (may_campaign())
+    start_pre_vote();
+  else
+    schedule_election();
 }
 
 void raft_node::on(const raft_proposal& event) {
@@ -144,10 +146,19 @@
 
 // Elections.
 
+time_point raft_node::draw_time(microseconds shortest, microseconds longest) {
+  std::uniform_int_distribution<std::int64_t> draw(shortest.count(), longest.count());
+  return now_ + microseconds(draw(engine_));
+}
+
 void raft_node::schedule_election() {
-  const std::int64_t base = microseconds(settings_.election_timeout).count();
-  std::uniform_int_distribution<std::int64_t> draw(base, 2 * base);
-  election_deadline_ = now_ + microseconds(draw(engine_));
+  election_deadline_ = draw_time(settings_.election_timeout, 2 * settings_.election_timeout);
+}
+
+// When two candidates collide, nobody waits for a leader any more; with the full
+// timeout again, 200 measured elections among two of three voters took up to 2.3 s.
+void raft_node::schedule_retry() {
+  election_deadline_ = draw_time(settings_.election_timeout / 4, settings_.election_timeout);
 }
 
 bool raft_node::is_foreign() const {
@@ -197,6 +208,7 @@
 void raft_node::start_pre_vote() {
   role_ = raft_role::pre_candidate;
   leader_ = 0;
+  schedule_retry();
   ask_for_votes(true);
   if (has_won()) start_election();
 }
@@ -208,7 +220,7 @@
   identity_.set_voted_for(id());
   persist_identity();
   election_started_ = now_;
-  schedule_election();
+  schedule_retry();
   ask_for_votes(false);
   if (has_won()) become_leader();
 }
--- a/tests/libraries/replication/control_state_test.cpp
+++ b/tests/libraries/replication/control_state_test.cpp
@@ -125,6 +125,30 @@
   BOOST_TEST(copy.encode() == state.encode());
 }
 
+// Guards against the reduced action in the log having another effect than the
+// declaration that the operator sent.
+BOOST_AUTO_TEST_CASE(reduced_action_has_the_same_effect) {
+  setenv("RC_PARAMS", "seed=1", 0); // repeatable; the environment can set another seed
+  const bool holds = rc::check([] {
+    applied whole;
+    applied reduced;
+    for (int n = 0; n < 12; ++n) {
+      services list;
+      for (int port = 80; port < 86; ++port)
+        if (*rc::gen::inRange(0, 3) != 0)
+          list.emplace_back("s" + std::to_string(*rc::gen::inRange(0, 9)), port);
+      const auto base = whole.state.revision() - (whole.state.revision() > 0 && n % 5 == 0 ? 1 : 0);
+      auto command = apply_of("op" + std::to_string(n), base, list);
+      command.set_content_digest(1 + static_cast<std::uint64_t>(n));
+      const auto expected = whole(command);
+      *command.mutable_apply() = reduced.state.reduced(command.apply());
+      RC_ASSERT(reduced(command).SerializeAsString() == expected.SerializeAsString());
+      RC_ASSERT(reduced.state.encode() == whole.state.encode());
+    }
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against a host that missed any number of revisions ending in another
 // state than one that followed each, and against snapshots that change the state.
 BOOST_AUTO_TEST_CASE(changes_lead_to_the_complete_configuration) {
