--- /dev/null
+++ b/utilities/zinniactl/declaration_commands.cpp
@@ -0,0 +1,98 @@
+#include "command_context.h"
+#include "zinniarelay/config/declaration.h"
+
+#include <iostream>
+#include <memory>
+#include <optional>
+
+namespace zinnia {
+namespace {
+
+struct declaration_options {
+  std::string file;
+  operation_options operation;
+  std::optional<std::uint64_t> base;
+};
+
+/// Loads the file, prints its findings, and fills the request with its services.
+bool read_services(const std::string& file, wire::apply_request& request) {
+  const auto loaded = declaration::load(file);
+  for (const auto& it : loaded ? loaded.value().warnings() : loaded.error())
+    std::cerr << it << '\n';
+  if (!loaded) return false;
+  for (const auto& it : loaded.value().services())
+    *request.add_services() = it;
+  return true;
+}
+
+exit_code check(const declaration_options& options) {
+  wire::apply_request request;
+  if (!read_services(options.file, request)) return exit_code::bad_file;
+  std::cout << options.file << ": " << request.services_size() << " services, no errors\n";
+  return exit_code::done;
+}
+
+exit_code diff(const command_context& context, const declaration_options& options) {
+  wire::apply_request request;
+  if (!read_services(options.file, request)) return exit_code::bad_file;
+  operator_session session(context);
+  const auto reply = session.client().diff(request);
+  if (!reply) return report_unanswered(reply.error());
+  if (context.wants_json)
+    print_json(reply.value());
+  else {
+    std::cout << "revision " << reply.value().revision() << '\n';
+    print_differences(std::cout, reply.value().differences());
+  }
+  return reply.value().differences().empty() ? exit_code::done : exit_code::different;
+}
+
+exit_code apply(const command_context& context, declaration_options& options) {
+  wire::apply_request request;
+  if (!read_services(options.file, request)) return exit_code::bad_file;
+  operator_session session(context);
+  if (!options.base) {
+    // The revision is read once, before the first attempt: a change by another
+    // operator from here on is refused as a stale base.
+    const auto current = session.client().diff(request);
+    if (!current) return report_unanswered(current.error());
+    options.base = current.value().revision();
+    print_differences(std::cerr, current.value().differences());
+  }
+  options.operation.complete();
+  request.set_operation_id(options.operation.operation_id);
+  request.set_author(options.operation.author);
+  request.set_base_revision(*options.base);
+  return report(context, session.client().apply(request), "apply");
+}
+
+} // namespace
+
+void add_declaration_commands(CLI::App& app, command_context& context) {
+  const auto options = std::make_shared<declaration_options>();
+
+  auto* check_command =
+      app.add_subcommand("check", "Check a declaration; no control host is asked");
+  check_command->add_option("FILE", options->file, "Declaration")->required();
+  check_command->callback(
+      [&context, options] { context.action = [options] { return check(*options); }; });
+
+  auto* diff_command = app.add_subcommand("diff", "Show what applying a declaration would change");
+  diff_command->add_option("FILE", options->file, "Declaration")->required();
+  diff_command->callback([&context, options] {
+    context.action = [&context, options] { return diff(context, *options); };
+  });
+
+  auto* apply_command = app.add_subcommand(
+      "apply", "Make a declaration the configuration in force; it replaces the previous one whole");
+  apply_command->add_option("FILE", options->file, "Declaration")->required();
+  options->operation.add_to(*apply_command);
+  apply_command->add_option("--base", options->base,
+                            "Revision that the declaration is meant to replace; refused when "
+                            "another is in force (default: the one in force now)");
+  apply_command->callback([&context, options] {
+    context.action = [&context, options] { return apply(context, *options); };
+  });
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/utilities/zinniactl/text_table.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace zinnia {
+
+/// Rows in aligned columns, for people.
+class text_table {
+public:
+  explicit text_table(std::vector<std::string> heading);
+
+  void add(std::vector<std::string> row);
+  friend std::ostream& operator<<(std::ostream& out, const text_table& table);
+
+private:
+  std::vector<std::vector<std::string>> rows_;
+};
+
+/// Seconds with one decimal, or milliseconds below one second.
+std::string age_text(std::uint64_t ms);
+
+} // namespace zinnia
