--- a/libraries/config/yaml_map.cpp
+++ b/libraries/config/yaml_map.cpp
@@ -114,28 +114,28 @@
       sink_.report(it.first.Mark(), "key " + in_quotes(key) + " is given twice in " + name_,
                    "each key once");
     else
-      entries_.push_back({key, it.first.Mark(), it.second});
+      items_.push_back({key, it.first.Mark(), it.second});
   }
 }
 
-const yaml_map::entry* yaml_map::entry_of(std::string_view key) const {
+const yaml_map::item* yaml_map::item_of(std::string_view key) const {
   const auto it =
-      std::find_if(entries_.begin(), entries_.end(), [&](const auto& e) { return e.key == key; });
-  return it == entries_.end() ? nullptr : &*it;
+      std::find_if(items_.begin(), items_.end(), [&](const auto& e) { return e.key == key; });
+  return it == items_.end() ? nullptr : &*it;
 }
 
 bool yaml_map::has(std::string_view key) const {
-  return entry_of(key) != nullptr;
+  return item_of(key) != nullptr;
 }
 
 YAML::Mark yaml_map::place(std::string_view key) const {
-  const auto* it = entry_of(key);
+  const auto* it = item_of(key);
   return it == nullptr ? place_ : it->value.Mark();
 }
 
 std::optional<YAML::Node> yaml_map::find(std::string_view key, presence need) {
   known_.emplace_back(key);
-  const auto* it = entry_of(key);
+  const auto* it = item_of(key);
   if (it != nullptr && !it->value.IsNull()) return it->value;
   if (it != nullptr)
     sink_.report(it->place, "key " + in_quotes(key) + " has no value");
@@ -206,7 +206,7 @@
 }
 
 void yaml_map::report_unknown_keys() {
-  for (const auto& it : entries_)
+  for (const auto& it : items_)
     if (std::find(known_.begin(), known_.end(), it.key) == known_.end())
       sink_.report(it.place, "unknown key " + in_quotes(it.key) + " in " + name_,
                    "one of " + join(known_));
--- a/libraries/config/yaml_map.h
+++ b/libraries/config/yaml_map.h
@@ -38,6 +38,12 @@
 /// key and then returns nothing, so that one pass collects every finding.
 class yaml_map {
 public:
+  struct item {
+    std::string key;
+    YAML::Mark place; ///< of the key
+    YAML::Node value;
+  };
+
   /// `name` names the map in findings.
   yaml_map(const YAML::Node& node, std::string name, finding_sink& sink);
 
@@ -59,19 +65,16 @@
   YAML::Mark place(std::string_view key) const;
   bool has(std::string_view key) const;
 
-private:
-  struct entry {
-    std::string key;
-    YAML::Mark place;
-    YAML::Node value;
-  };
+  /// The keys in the order of the file, for maps whose keys are not known beforehand.
+  const std::vector<item>& items() const { return items_; }
 
-  const entry* entry_of(std::string_view key) const;
+private:
+  const item* item_of(std::string_view key) const;
 
   std::string name_;
   finding_sink& sink_;
   YAML::Mark place_;
-  std::vector<entry> entries_;
+  std::vector<item> items_;
   std::vector<std::string> known_;
   bool is_map_ = false;
 };
--- /dev/null
+++ b/tests/libraries/chart/state_chart_test.cpp
@@ -0,0 +1,141 @@
+#include "finding_places.h"
+#include "temporary_folder.h"
+#include "zinniarelay/chart/chart_page.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <iterator>
+
+namespace {
+
+using namespace zinnia;
+
+const std::string good = R"(chart: lamp
+description: A lamp.
+start: dark
+events: {pressed: The button., broke: The bulb.}
+actions: {light: Turns it on., quench: Turns it off.}
+states:
+  - name: dark
+    description: No light.
+    on: {pressed: {to: lit, do: [light]}}
+    ignore: [broke]
+  - name: lit
+    description: Light.
+    on:
+      pressed: {to: dark, do: [quench, light, quench]}
+      broke: {to: dead}
+  - {name: dead, description: Never again., final: true}
+)";
+
+struct chart_folder : temporary_folder {
+  checked<state_chart> load(const std::string& text) const {
+    return state_chart::load(write("chart.yaml", text));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(state_chart_test, chart_folder)
+
+BOOST_AUTO_TEST_CASE(steps_by_index) {
+  const auto chart = load(good).value();
+  BOOST_TEST(chart.state_name(chart.start()) == "dark");
+  const auto lit = chart.step(chart.start(), 0);
+  BOOST_TEST(chart.state_name(lit.next) == "lit");
+  BOOST_REQUIRE_EQUAL(lit.actions.size(), 1U);
+  BOOST_TEST(lit.actions[0] == 0);
+  BOOST_TEST(chart.step(chart.start(), 1).is_ignored);
+  const auto dark = chart.step(lit.next, 0);
+  const std::vector<state_chart::index> expected{1, 0, 1};
+  BOOST_TEST(std::vector(dark.actions.begin(), dark.actions.end()) == expected,
+             boost::test_tools::per_element());
+  const auto dead = chart.step(lit.next, 1);
+  BOOST_TEST(dead.actions.empty());
+  BOOST_TEST(chart.is_final(dead.next));
+  BOOST_TEST(chart.step(dead.next, 0).is_ignored);
+}
+
+// Guards against an enumeration of the code that no longer matches its chart
+// and then runs other actions than the chart names.
+BOOST_AUTO_TEST_CASE(numbers_names_as_the_code_does) {
+  const auto file = write("chart.yaml", good);
+  const auto chart = state_chart::load(file, {{"broke", "pressed"}, {"quench", "light"}}).value();
+  BOOST_TEST(chart.step(chart.start(), 0).is_ignored);
+  BOOST_TEST(chart.step(chart.start(), 1).actions[0] == 1);
+  const auto found = state_chart::load(file, {{"pressed", "dropped"}, {"light", "quench"}}).error();
+  const std::vector<std::string> expected{"4:9 'broke' in events is unknown to the code",
+                                          "4:9 'dropped' of the code is missing in events",
+                                          "7:5 state 'dark' has no transition for event 'dropped'",
+                                          "10:14 unknown event 'broke'",
+                                          "11:5 state 'lit' has no transition for event 'dropped'",
+                                          "15:7 unknown event 'broke'",
+                                          "16:5 state 'dead' cannot be reached"};
+  BOOST_TEST(places_of(found) == expected, boost::test_tools::per_element());
+}
+
+// Guards against a chart that is accepted with an event that nothing handles
+// or a state that nothing enters.
+BOOST_AUTO_TEST_CASE(reports_all_defects_with_their_places) {
+  const auto found = load(R"(chart: lamp
+description: A lamp.
+start: dusk
+events: {pressed: The button., broke: The bulb., broke: Again.}
+actions: {light: Turns it on., unused: Nothing.}
+states:
+  - name: dark
+    description: No light.
+    on: {pressed: {to: day, do: [light, shine]}, kicked: {to: dark}}
+    ignore: [pressed, lost]
+  - name: dark
+    description: Twice.
+    colour: black
+    ignore: [pressed, broke]
+  - {name: dead, final: maybe, ignore: [pressed, broke]}
+  - {name: gone, description: Final., final: true, ignore: [pressed]}
+)")
+                         .error();
+  const std::vector<std::string> expected{"3:8 unknown state 'dusk'",
+                                          "4:50 key 'broke' is given twice in events",
+                                          "5:10 action 'unused' is never used",
+                                          "7:5 state 'dark' has no transition for event 'broke'",
+                                          "9:24 unknown state 'day'",
+                                          "9:41 unknown action 'shine'",
+                                          "9:50 unknown event 'kicked'",
+                                          "10:14 event 'pressed' is handled twice",
+                                          "10:23 unknown event 'lost'",
+                                          "11:5 state 'dark' is given twice",
+                                          "13:5 unknown key 'colour' in a state",
+                                          "15:5 key 'description' is missing in a state",
+                                          "15:25 final is 'maybe'",
+                                          "16:60 final state 'gone' handles events"};
+  BOOST_TEST(places_of(found) == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(finds_states_that_nothing_enters) {
+  auto text = good;
+  text.replace(text.find("to: dead"), 8, "to: lit");
+  BOOST_TEST(places_of(load(text).error()).front() == "16:5 state 'dead' cannot be reached");
+}
+
+BOOST_AUTO_TEST_CASE(refuses_what_is_not_a_chart) {
+  BOOST_TEST(!load("[]").has_value());
+  BOOST_TEST(!load("chart: a\nstates: [1, [2], {}]\n").has_value());
+  BOOST_TEST(!chart_page(path() / "none").has_value());
+}
+
+// Guards against a page that describes other charts than the code interprets.
+BOOST_AUTO_TEST_CASE(the_page_shows_the_charts_in_force) {
+  const std::filesystem::path charts = ZINNIA_CHART_DIR;
+  const auto page = chart_page(charts);
+  if (!page)
+    for (const auto& it : page.error())
+      BOOST_TEST_MESSAGE(it);
+  BOOST_REQUIRE(page.has_value());
+  std::ifstream in(charts.parent_path() / "docs" / "charts.md");
+  const std::string written(std::istreambuf_iterator<char>(in), {});
+  BOOST_TEST((page.value() == written),
+             "docs/charts.md differs; run zinnia-charts charts > docs/charts.md");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
