--- a/libraries/chart/chart_page.cpp
+++ b/libraries/chart/chart_page.cpp
@@ -31,12 +31,13 @@
                     chart.state_name(chart.start()) + "`.\n\n";
   std::vector<chart_word> states;
   std::string table = row("state", "event", "next state", "actions") + "|---|---|---|---|\n";
-  for (state_chart::index state = 0; state < chart.state_count(); ++state) {
+  for (std::size_t i = 0; i < chart.state_count(); ++i) {
+    const auto state = static_cast<state_chart::index>(i);
     const auto& name = chart.state_name(state);
     states.push_back({name, chart.state_description(state)});
     std::string ignored;
-    for (state_chart::index event = 0; event < chart.events().size(); ++event) {
-      const auto transition = chart.step(state, event);
+    for (std::size_t event = 0; event < chart.events().size(); ++event) {
+      const auto transition = chart.step(state, static_cast<state_chart::index>(event));
       const auto& event_name = chart.events()[event].name;
       if (transition.is_ignored)
         ignored += (ignored.empty() ? "" : ", ") + event_name;
