zinniactl: name the base that a repeated apply needs

The base is now printed with the identifier when an apply was not confirmed. The author is the user who runs the tool; $USER was unset there.

--- a/utilities/zinniactl/command_context.cpp
+++ b/utilities/zinniactl/command_context.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <google/protobuf/util/json_util.h>
 #include <iostream>
+#include <pwd.h>
 #include <sodium.h>
 #include <thread>
+#include <unistd.h>
 
 namespace zinnia {
 namespace {
@@ -28,21 +29,31 @@
   return text.empty() ? "-" : text;
 }
 
+std::string user_name() {
+  std::array<char, 1024> buf{};
+  passwd entry{};
+  passwd* found = nullptr;
+  if (getpwuid_r(geteuid(), &entry, buf.data(), buf.size(), &found) != 0 || found == nullptr)
+    return "user " + std::to_string(geteuid());
+  return entry.pw_name;
+}
+
 } // namespace
 
 void operation_options::add_to(CLI::App& command) {
   command.add_option("--operation", operation_id,
                      "Identifier of this operation; repeating one gives its first result "
                      "(default: drawn at random and printed)");
-  command.add_option("--author", author, "Who is named in the audit trail (default: $USER)")
+  command
+      .add_option("--author", author,
+                  "Who is named in the audit trail (default: the user who runs this)")
       ->envname("ZINNIA_AUTHOR");
 }
 
 void operation_options::complete() {
   if (operation_id.empty()) operation_id = random_operation_id();
+  if (author.empty()) author = user_name();
   std::cerr << "operation " << operation_id << '\n';
-  const char* user = std::getenv("USER"); // NOLINT(concurrency-mt-unsafe): before any thread
-  if (author.empty()) author = user == nullptr ? "unknown" : user;
 }
 
 std::vector<endpoint> control_hosts(const command_context& context) {
@@ -83,8 +94,8 @@
   std::cerr << value << '\n';
   switch (value.kind) {
   case error_kind::unavailable:
-    std::cerr << "The operation may have been carried out. Repeating it with the same --operation "
-                 "is safe.\n";
+    std::cerr << "The operation may have been carried out. Repeating it unchanged, with the same "
+                 "--operation, is safe.\n";
     return exit_code::unconfirmed;
   case error_kind::io:
     return exit_code::io;
--- a/utilities/zinniactl/declaration_commands.cpp
+++ b/utilities/zinniactl/declaration_commands.cpp
@@ -63,7 +63,14 @@
   request.set_operation_id(options.operation.operation_id);
   request.set_author(options.operation.author);
   request.set_base_revision(*options.base);
-  return report(context, session.client().apply(request), "apply");
+  const auto reply = session.client().apply(request);
+  const auto code = report(context, reply, "apply");
+  // The base is part of the operation: with another one, the same identifier
+  // would name another operation and be refused.
+  if (code == exit_code::unconfirmed)
+    std::cerr << "To repeat it: --operation " << request.operation_id() << " --base "
+              << request.base_revision() << '\n';
+  return code;
 }
 
 } // namespace
