--- a/include/zinniarelay/caller/caller_session.h
+++ b/include/zinniarelay/caller/caller_session.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace zinnia {
 
@@ -110,7 +111,7 @@
   };
 
   using issued_map = std::map<request_key, issued_request>;
-  using download_map = std::map<call_id, download_state>;
+  using download_map = std::unordered_map<call_id, download_state>;
 
   void on_event(time_point now, const call_submitted& event, caller_effects& out);
   void on_event(time_point now, const download_submitted& event, caller_effects& out);
@@ -160,7 +161,7 @@
   std::optional<opening_state> opening_;
   std::deque<operation> waiting_;
   issued_map issued_;
-  std::map<call_id, time_point> calls_;
+  std::unordered_map<call_id, time_point> calls_;
   download_map downloads_;
   // Tokens of answers acknowledged last, to repeat a lost acknowledgement.
   std::map<request_key, std::string> acknowledged_;
--- a/include/zinniarelay/request/request_executor.h
+++ b/include/zinniarelay/request/request_executor.h
@@ -127,7 +127,7 @@
   struct timer {
     time_point due;
     request_key key;
-    friend auto operator<=>(const timer&, const timer&) = default;
+    friend bool operator>(const timer& a, const timer& b) { return a.due > b.due; }
   };
 
   bool is_own(const flow_token& token) const;
--- a/include/zinniarelay/request/request_key.h
+++ b/include/zinniarelay/request/request_key.h
@@ -2,9 +2,9 @@
 
 #include "zinniarelay/core/identifiers.h"
 
-#include <compare>
 #include <cstdint>
 #include <utility>
+#include <xxhash.h>
 
 namespace zinnia {
 
@@ -13,11 +13,9 @@
   flow_id flow;
   std::uint64_t number = 0;
 
-  friend auto operator<=>(const request_key&, const request_key&) = default;
-
-  template <class Hash>
-  friend Hash AbslHashValue(Hash state, const request_key& key) {
-    return Hash::combine(std::move(state), key.flow.value, key.number);
+  friend bool operator==(const request_key&, const request_key&) = default;
+  friend bool operator<(const request_key& a, const request_key& b) {
+    return std::pair(a.flow.value, a.number) < std::pair(b.flow.value, b.number);
   }
 };
 
@@ -27,7 +25,15 @@
   request_key request;
   std::uint32_t attempt = 0; ///< counted from 1
 
-  friend auto operator<=>(const attempt_key&, const attempt_key&) = default;
+  friend bool operator==(const attempt_key&, const attempt_key&) = default;
 };
 
 } // namespace zinnia
+
+template <>
+struct std::hash<zinnia::request_key> {
+  std::size_t operator()(const zinnia::request_key& key) const noexcept {
+    const std::uint64_t words[] = {key.flow.value, key.number};
+    return static_cast<std::size_t>(XXH3_64bits(words, sizeof words));
+  }
+};
--- a/include/zinniarelay/request/request_table.h
+++ b/include/zinniarelay/request/request_table.h
@@ -101,12 +101,13 @@
 private:
   explicit request_table(const table_limits& limits) : limits_(limits) {}
 
-  using live_map = absl::flat_hash_map<request_key, std::unique_ptr<live_record>>;
+  using live_map =
+      absl::flat_hash_map<request_key, std::unique_ptr<live_record>, std::hash<request_key>>;
   void drop_live(live_map::iterator it);
 
   table_limits limits_;
   live_map live_;
-  absl::flat_hash_map<request_key, settled_record> settled_;
+  absl::flat_hash_map<request_key, settled_record, std::hash<request_key>> settled_;
   std::size_t tombstones_ = 0;
   std::size_t answered_ = 0;
   std::uint64_t live_bytes_ = 0;
--- a/libraries/caller/caller_session.cpp
+++ b/libraries/caller/caller_session.cpp
@@ -345,8 +345,10 @@
 bool caller_session::may_reissue(const operation& work, wire::outcome_kind kind,
                                  wire::outcome_reason reason) const {
   if (kind != wire::outcome_not_run && work.kind != wire::idempotent) return false;
-  if (work.is_range) return true;
-  return is_flow_lost(reason) && work.issues <= settings_.reissues;
+  // A call is issued again only when another host can do better; reasons such
+  // as overload are for the application to decide. The backoff and the deadline
+  // bound the number of issues.
+  return work.is_range || is_flow_lost(reason);
 }
 
 void caller_session::end_issue(time_point now, issued_map::iterator it, wire::outcome_kind kind,
