--- /dev/null
+++ b/benchmarks/request_table.cpp
@@ -0,0 +1,143 @@
+#include "zinniarelay/core/random.h"
+#include "zinniarelay/request/request_executor.h"
+#include "zinniarelay/token/key_ring.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <glog/logging.h>
+#include <malloc.h>
+#include <string>
+#include <sys/resource.h>
+#include <vector>
+
+// Measures the memory of acknowledged requests and the processor time of one
+// request in the executor. One line per measure: measure | value | bound.
+
+namespace {
+
+using namespace zinnia;
+
+// One entry process must hold 200,000 open flows in under 256 MB, of which the
+// records of acknowledged requests may take a quarter.
+constexpr double most_resident_megabytes = 64;
+constexpr double most_bytes_per_record = most_resident_megabytes * 1024 * 1024 / 200'000;
+
+// 3,000 new flows a second, with one request each, may take a tenth of a core.
+constexpr double most_microseconds_per_request = 100'000.0 / 3'000;
+
+// Bytes in use on the heap. Unlike the resident size they do not depend on
+// what earlier measures of this process freed.
+double heap_bytes() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+double peak_resident_megabytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_maxrss) / 1024;
+}
+
+double processor_microseconds() {
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+key_ring make_ring() {
+  token_key key;
+  key.generation = 1;
+  key.secret.fill(7);
+  return key_ring::create({key}, 1).value();
+}
+
+class workload {
+public:
+  explicit workload(const key_ring& ring)
+      : executor_(request_executor::create({}, host_id{1}, incarnation_id{100},
+                                           [&ring](const flow_token& it) { return ring.seal(it); })
+                      .value()) {
+    request_.set_request_number(1);
+    request_.set_method("certify");
+    request_.set_attempt(1);
+    request_.set_deadline_ms(1'000);
+    request_.set_payload(std::string(100, 'x'));
+  }
+
+  // One request of a new flow: admitted, started, answered, acknowledged.
+  void run_one() {
+    flow_token token;
+    token.service = service_id{1};
+    token.executing_host = host_id{1};
+    token.executing_incarnation = incarnation_id{100};
+    token.record_epoch = executor_.record_epoch(now_);
+    token.flow = flow_id{engine_()};
+    const service_policy policy{service_id{1}, wire::non_idempotent, milliseconds(1'000), 10};
+    const attempt_key key{{token.flow, 1}, 1};
+    sink_ += executor_.on_request(now_, token, request_, policy, {}, takeover_mode::none).size();
+    CHECK(executor_.on_dispatch_started(now_, key) == start_permission::granted);
+    sink_ += executor_.on_dispatch_result(now_, key, answer_).size();
+    executor_.on_ack(now_, token, 1);
+  }
+
+  std::size_t records() const { return executor_.table().records(); }
+
+private:
+  request_executor executor_;
+  random_engine engine_{1};
+  time_point now_{std::chrono::seconds(1'000)};
+  wire::service_request request_;
+  dispatch_result answer_{dispatch_outcome::done, std::string(200, 'y'), {}};
+  std::size_t sink_ = 0;
+};
+
+bool print(const std::string& measure, double value, const char* unit, double bound) {
+  std::printf("%s | %.1f %s | %.1f %s%s\n", measure.c_str(), value, unit, bound, unit,
+              value <= bound ? "" : " exceeded");
+  return value <= bound;
+}
+
+bool measure_memory(const key_ring& ring, std::size_t flows) {
+  const auto before = heap_bytes();
+  workload work(ring);
+  while (work.records() < flows)
+    work.run_one();
+  const auto bytes = (heap_bytes() - before) / static_cast<double>(flows);
+  return print("memory per acknowledged request, " + std::to_string(flows) + " flows", bytes, "B",
+               most_bytes_per_record);
+}
+
+bool measure_time(const key_ring& ring, std::size_t flows) {
+  constexpr std::size_t batch = 1'000;
+  constexpr std::size_t batches = 50;
+  workload work(ring);
+  while (work.records() < flows)
+    work.run_one();
+  std::vector<double> each;
+  for (std::size_t n = 0; n < batches; ++n) {
+    const auto before = processor_microseconds();
+    for (std::size_t i = 0; i < batch; ++i)
+      work.run_one();
+    each.push_back((processor_microseconds() - before) / batch);
+  }
+  std::sort(each.begin(), each.end());
+  return print("processor time per request, median, " + std::to_string(flows) + " flows",
+               each[batches / 2], "us", most_microseconds_per_request);
+}
+
+} // namespace
+
+int main() {
+  const auto ring = make_ring();
+  // The largest table comes first, so that the peak is that of this table alone.
+  bool is_within = measure_memory(ring, 200'000);
+  is_within = print("peak resident memory of the process, 200000 flows", peak_resident_megabytes(),
+                    "MB", most_resident_megabytes) &&
+              is_within;
+  for (const std::size_t flows : {100'000U, 50'000U, 25'000U, 12'500U})
+    is_within = measure_memory(ring, flows) && is_within;
+  for (const std::size_t flows : {1'000U, 50'000U, 200'000U, 800'000U})
+    is_within = measure_time(ring, flows) && is_within;
+  return is_within ? 0 : 1;
+}
--- a/tests/libraries/request/executor_fixture.h
+++ b/tests/libraries/request/executor_fixture.h
@@ -2,6 +2,7 @@
 
 #include "zinniarelay/request/request_executor.h"
 
+#include <glog/logging.h>
 #include <string>
 #include <utility>
 #include <vector>
@@ -77,6 +78,16 @@
     return executor.on_dispatch_result(now, key, {outcome, payload, {}});
   }
 
+  bool start(const attempt_key& key) {
+    return executor.on_dispatch_started(now, key) == start_permission::granted;
+  }
+
+  // Admits and starts request 1 of flow 7.
+  void run_first() {
+    send_new();
+    CHECK(start({{flow_id{7}, 1}, 1}));
+  }
+
   static bool outcome_is_pending(const request_effects& effects) {
     return outcome_of(effects).reason() == wire::reason_pending;
   }
--- a/tests/proofs/request_model.cpp
+++ b/tests/proofs/request_model.cpp
@@ -471,7 +471,10 @@
   here.calls.erase(it);
   apply(host, here.executor->on_dispatch_result(now_, key, seen));
   // A transport may report the end of a call twice.
-  if (happens(5)) apply(host, here.executor->on_dispatch_result(now_, key, seen));
+  if (happens(5))
+    at_host(delay(0, 20), host, [this, host, key, seen = std::move(seen)] {
+      apply(host, hosts_[host].executor->on_dispatch_result(now_, key, seen));
+    });
 }
 
 // Tokens
