request, caller: a planned stop outlasts the tokens of the incarnation

Once a host has stopped, a request under one of its still valid tokens can only end as unknown. outstanding_tokens tells how long a drain has to wait, answers during a drain renew no token, and a caller opens a new flow after an answer without a renewed token.

--- a/include/zinniarelay/caller/caller_session.h
+++ b/include/zinniarelay/caller/caller_session.h
@@ -68,6 +68,7 @@
     time_point first_sent;
     time_point resend_at;
     milliseconds backoff{0};
+    std::uint32_t refusals = 0;
   };
 
   // One request of the application or one range of a download. It may be issued
--- a/include/zinniarelay/caller/caller_settings.h
+++ b/include/zinniarelay/caller/caller_settings.h
@@ -16,6 +16,7 @@
   milliseconds reopen_margin{5'000};       ///< new requests avoid a token this near its end
   std::uint32_t silent_attempts = 3;       ///< without a sign of the host before a new flow
   milliseconds lost_host_patience{2'000};  ///< before reports of a lost host end a call
+  std::uint32_t believed_refusals = 3;     ///< of an open as an unknown service
   std::uint32_t restarts = 8;              ///< of one download
   std::uint32_t range_length = 64U * 1024; ///< bytes
   std::uint32_t ranges_in_flight = 4;      ///< of one download
--- a/include/zinniarelay/request/request_executor.h
+++ b/include/zinniarelay/request/request_executor.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <queue>
 #include <string>
 #include <unordered_map>
@@ -108,9 +109,15 @@
   /// least every 100 ms.
   request_effects on_tick(time_point now);
 
-  /// From now on new requests are refused as not_run (docs/design.md R12).
+  /// From now on new requests are refused as not_run, and answers renew no
+  /// token (docs/design.md R12).
   void begin_drain() { is_draining_ = true; }
 
+  /// How long tokens that name this incarnation remain valid after the drain
+  /// began; a planned stop waits for 0. A request under such a token can be told
+  /// not_run by this incarnation only, and would be unknown after the stop.
+  milliseconds outstanding_tokens(time_point now) const;
+
   /// Requests that have not ended; a planned stop waits for 0.
   std::size_t pending() const { return table_.pending(); }
 
@@ -163,6 +170,7 @@
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
   executor_counters counters_;
   bool is_draining_ = false;
+  std::optional<std::uint32_t> drain_epoch_; // when the drain was first seen by a tick
   time_point next_reminder_;
 };
 
--- a/libraries/caller/caller_session.cpp
+++ b/libraries/caller/caller_session.cpp
@@ -122,7 +122,7 @@
 
 void caller_session::open_flow(time_point now, caller_effects& out) {
   ++counters_.opens;
-  opening_ = opening_state{engine_(), now, now, settings_.first_resend};
+  opening_ = opening_state{engine_(), now, now, settings_.first_resend, 0};
   send_open(now, out);
 }
 
@@ -149,7 +149,12 @@
 }
 
 void caller_session::renew_token(const issued_request& request, const wire::answer_part& part) {
-  if (part.renewed_token().empty() || !flow_ || flow_->id.value != part.flow()) return;
+  if (part.offset() != 0 || !flow_ || flow_->id.value != part.flow()) return;
+  if (part.renewed_token().empty()) {
+    // The executing host is leaving, or another host answered for it.
+    flow_.reset();
+    return;
+  }
   const auto until = request.first_sent + milliseconds(part.valid_ms());
   if (until <= flow_->valid_until) return;
   flow_->token = part.renewed_token();
@@ -333,6 +338,8 @@
     const bool is_final = refusal.cause() == wire::refusal_unknown_service ||
                           refusal.cause() == wire::refusal_wrong_service;
     if (!opening_ || opening_->nonce != refusal.nonce() || !is_final) return;
+    // A host may not have heard of a new service yet; another may have.
+    if (++opening_->refusals < settings_.believed_refusals) return;
     opening_.reset();
     const auto refused = std::move(waiting_);
     waiting_.clear();
--- a/libraries/request/request_executor.cpp
+++ b/libraries/request/request_executor.cpp
@@ -69,6 +69,14 @@
   return settings_.epoch_length * (settings_.epoch_window - 2);
 }
 
+milliseconds request_executor::outstanding_tokens(time_point now) const {
+  // Other hosts may still open flows on this one until they hear of the drain,
+  // for which one more epoch is allowed.
+  const std::int64_t last_epoch = drain_epoch_.value_or(record_epoch(now)) + std::int64_t{1};
+  const time_point end(settings_.epoch_length * (last_epoch + settings_.epoch_window));
+  return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(end - now));
+}
+
 bool request_executor::is_own(const flow_token& token) const {
   return token.executing_host == host_ && token.executing_incarnation == incarnation_;
 }
@@ -322,8 +330,9 @@
     if (part.offset() == 0) {
       if (!record.content.version().empty()) *part.mutable_content() = record.content;
       // A taken-over flow keeps its token, because only the executing host may
-      // extend the epochs in which its records are kept.
-      if (!record.is_takeover) {
+      // extend the epochs in which its records are kept. Without a renewed token
+      // the caller opens a new flow for its next request.
+      if (!record.is_takeover && !is_draining_) {
         auto renewed = record.token;
         renewed.record_epoch = record_epoch(now);
         part.set_renewed_token(sealer_(renewed));
@@ -390,6 +399,7 @@
                std::make_move_iterator(more.end()));
   }
   table_.expire_some(record_epoch(now));
+  if (is_draining_ && !drain_epoch_) drain_epoch_ = record_epoch(now);
   if (is_draining_ && now >= next_reminder_) remind_callers(now, out);
   return out;
 }
--- a/tests/libraries/caller/caller_session_test.cpp
+++ b/tests/libraries/caller/caller_session_test.cpp
@@ -100,6 +100,10 @@
               const wire::content_info* content = nullptr) {
     for (auto& part : split_answer({flow_id{flow}, number}, text, content_digest(text), 0, 100)) {
       if (content != nullptr && part.offset() == 0) *part.mutable_content() = *content;
+      if (part.offset() == 0) {
+        part.set_renewed_token("token of flow " + std::to_string(flow));
+        part.set_valid_ms(50'000);
+      }
       packet_received received;
       *received.packet.mutable_part() = std::move(part);
       step(received);
@@ -392,11 +396,31 @@
   refused.packet.mutable_refused()->set_cause(wire::refusal_unknown_service);
   refused.packet.mutable_refused()->set_nonce(
       caller.last(wire::caller_packet::kOpen)->open().nonce());
-  caller.step(refused);
+  // One host alone may be late with its configuration.
+  for (int n = 0; n < 3; ++n) {
+    BOOST_TEST(caller.ended.empty());
+    caller.step(refused);
+  }
   BOOST_REQUIRE(caller.ended.size() == 1U);
   BOOST_TEST(caller.ended[0].kind == wire::outcome_not_run);
 }
 
+// Guards against new requests to a host that is leaving (R12).
+BOOST_AUTO_TEST_CASE(an_answer_without_a_renewed_token_ends_the_flow) {
+  session_fixture caller;
+  caller.submit(wire::non_idempotent, milliseconds(5'000), call_id{1});
+  caller.open();
+  packet_received last;
+  *last.packet.mutable_part() =
+      split_answer({flow_id{7}, 1}, "billed", content_digest("billed"), 0, 1)[0];
+  caller.step(last);
+  BOOST_TEST(caller.ended.size() == 1U);
+  caller.sent.clear();
+  caller.submit(wire::non_idempotent, milliseconds(5'000), call_id{2});
+  BOOST_TEST(caller.requests() == 0U);
+  BOOST_TEST((caller.last(wire::caller_packet::kOpen) != nullptr));
+}
+
 // Guards against a request that does not fit into a datagram.
 BOOST_AUTO_TEST_CASE(an_oversized_payload_is_not_sent) {
   session_fixture caller;
--- a/tests/libraries/request/request_executor_test.cpp
+++ b/tests/libraries/request/request_executor_test.cpp
@@ -350,6 +350,32 @@
   BOOST_TEST(host.executor.unacknowledged() == 0U);
 }
 
+// Guards against a stop after which requests under valid tokens are unknown (R12).
+BOOST_AUTO_TEST_CASE(a_drain_outlasts_every_token) {
+  executor_fixture host;
+  host.pass(milliseconds(3'000));
+  host.run_first();
+  host.executor.begin_drain();
+  host.executor.on_tick(host.now);
+  const auto parts = parts_of(host.finish(first, dispatch_outcome::done, "billed"));
+  BOOST_REQUIRE(parts.size() == 1U);
+  BOOST_TEST(parts[0].renewed_token().empty());
+  // A host that has not heard of the drain may stamp the next epoch.
+  const auto left = host.executor.outstanding_tokens(host.now);
+  BOOST_TEST(left.count() == 67'000);
+  host.pass(milliseconds(10'000));
+  const auto last = host.token();
+  host.pass(left - milliseconds(10'001));
+  host.executor.on_tick(host.now);
+  BOOST_TEST(host.executor.outstanding_tokens(host.now).count() == 1);
+  BOOST_TEST(outcome_of(host.send(last, host.request(2), wire::non_idempotent)).kind() ==
+             wire::outcome_not_run);
+  host.pass(milliseconds(1));
+  BOOST_TEST(host.executor.outstanding_tokens(host.now).count() == 0);
+  BOOST_TEST(outcome_of(host.send(last, host.request(3), wire::non_idempotent)).reason() ==
+             wire::reason_window_passed);
+}
+
 // Guards against a lost acknowledgement that delays a planned stop until the
 // record expires (R12).
 BOOST_AUTO_TEST_CASE(a_drain_reminds_callers_of_unacknowledged_answers) {
