--- a/include/zinniarelay/caller/caller_session.h
+++ b/include/zinniarelay/caller/caller_session.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace zinnia {
 
@@ -67,6 +68,7 @@
     time_point first_sent;
     time_point resend_at;
     milliseconds backoff{0};
+    std::uint32_t refusals = 0;
   };
 
   // One request of the application or one range of a download. It may be issued
@@ -95,6 +97,7 @@
     time_point resend_at;
     milliseconds backoff{0};
     std::uint32_t attempt = 1;
+    std::optional<time_point> reported_lost; // the executing host, without a sign of life since
   };
 
   struct download_state {
@@ -110,7 +113,7 @@
   };
 
   using issued_map = std::map<request_key, issued_request>;
-  using download_map = std::map<call_id, download_state>;
+  using download_map = std::unordered_map<call_id, download_state>;
 
   void on_event(time_point now, const call_submitted& event, caller_effects& out);
   void on_event(time_point now, const download_submitted& event, caller_effects& out);
@@ -149,10 +152,12 @@
   bool is_flow_usable(time_point now) const;
   void abandon_flow(flow_id id);
   bool is_obsolete(const operation& work) const;
+  bool waits_for_lost_host(time_point now, issued_request& request) const;
   bool may_reissue(const operation& work, wire::outcome_kind kind,
                    wire::outcome_reason reason) const;
   milliseconds jittered(milliseconds delay);
   milliseconds grown(milliseconds backoff) const;
+  static void note_sign_of_life(issued_request& request);
 
   caller_settings settings_;
   random_engine engine_;
@@ -160,7 +165,7 @@
   std::optional<opening_state> opening_;
   std::deque<operation> waiting_;
   issued_map issued_;
-  std::map<call_id, time_point> calls_;
+  std::unordered_map<call_id, time_point> calls_;
   download_map downloads_;
   // Tokens of answers acknowledged last, to repeat a lost acknowledgement.
   std::map<request_key, std::string> acknowledged_;
