--- /dev/null
+++ b/benchmarks/model/measures.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace zinnia::bench {
+
+/// What a run measured for one service.
+struct service_measures {
+  std::vector<double> waits; ///< queue waits in mean service times
+  double largest_sum = 0;    ///< sum over samples of the largest outstanding work per slot
+  double mean_sum = 0;       ///< sum over samples of the mean outstanding work per slot
+  double useful_work = 0;    ///< slot time of requests answered in time, in microseconds
+  double capacity = 0;       ///< slot time available, in microseconds
+
+  double imbalance() const { return mean_sum > 0 ? largest_sum / mean_sum : 0; }
+  double wait_percentile(double share) const;
+};
+
+/// What a run measured.
+struct measures {
+  std::vector<service_measures> services;
+  std::uint64_t flows = 0;
+  std::uint64_t broken_flows = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t retries = 0;
+  double control_bytes = 0; ///< per second and host, sent and received
+
+  double broken_per_ten_thousand() const {
+    return flows == 0 ? 0 : 1e4 * static_cast<double>(broken_flows) / static_cast<double>(flows);
+  }
+  double retry_percent() const {
+    return requests == 0 ? 0 : 1e2 * static_cast<double>(retries) / static_cast<double>(requests);
+  }
+  /// Useful work as a share of capacity, over all services.
+  double useful_share() const;
+};
+
+} // namespace zinnia::bench
--- /dev/null
+++ b/benchmarks/model/profile.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "zinniarelay/core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace zinnia::bench {
+
+/// One service of a user.
+struct service_profile {
+  std::string name;
+  unsigned targets = 0;
+  microseconds mean{0}; ///< mean service time of a request; the times are exponential
+};
+
+/// The sizes of one user (docs/design.md section 1).
+struct user_profile {
+  std::string name;
+  unsigned zones = 4;
+  unsigned hosts = 8;
+  unsigned slots = 0; ///< per target
+  microseconds zone_delay{0};
+  microseconds caller_delay{0};
+  std::vector<service_profile> services;
+};
+
+/// What happens during a run.
+struct scenario {
+  std::string name;
+  double load = 0.8; ///< offered work as a share of capacity
+  unsigned requests_per_flow = 1;
+  milliseconds think{0};       ///< between the requests of a flow
+  double deadline = 500;       ///< in mean service times
+  milliseconds warm_up{5'000}; ///< not measured
+  milliseconds length{60'000};
+  double packet_loss = 0.01;          ///< between hosts
+  bool is_draining_upstreams = false; ///< upstreams leave and are replaced in turn
+  bool is_killing_hosts = false;      ///< hosts die and join in turn
+  bool is_killing_upstreams = false;
+  bool is_draining_hosts = false;
+  bool is_cold = false;         ///< a joining upstream is five times slower for its first requests
+  bool is_shedding = false;     ///< upstreams in turn refuse work above one slot
+  bool is_misreporting = false; ///< reports lag or say idle and unhealthy at random
+  bool is_zone_cut = false;     ///< one zone is cut off for a third of the run
+  bool is_zone_down = false;    ///< the hosts and upstreams of one zone die for a third of the run
+};
+
+inline user_profile authority() {
+  return {"authority",
+          4,
+          8,
+          3,
+          microseconds(5000),
+          microseconds(1000),
+          {{"registry", 14, microseconds(20'000)}, {"catalogue", 4, microseconds(50'000)}}};
+}
+
+inline user_profile silotherm() {
+  return {"silotherm",
+          4,
+          8,
+          2,
+          microseconds(3500),
+          microseconds(3000),
+          {{"probe", 14, microseconds(20'000)}, {"history", 4, microseconds(50'000)}}};
+}
+
+} // namespace zinnia::bench
