--- a/benchmarks/model/bound_model.h
+++ b/benchmarks/model/bound_model.h
@@ -43,6 +43,7 @@
   struct binding {
     unsigned index = 0;
     incarnation_id incarnation;
+    unsigned host = 0;
   };
 
   std::vector<unsigned> candidates(const request& it) const;
@@ -53,14 +54,16 @@
   void pump(unsigned index);
   void pump_central(unsigned service);
   void report();
+  void charge(const request_ref& it);
+  void end(const request_ref& it, bool is_answered);
   double known_load(unsigned host, unsigned index) const;
 
   baseline policy_;
   std::vector<bool> listed_;
   std::vector<bool> cut_noticed_;
   std::vector<double> reported_;
-  std::vector<std::vector<unsigned>> sent_since_report_; ///< by host and target
-  std::vector<std::vector<unsigned>> turns_;             ///< by host and service
+  std::vector<std::vector<unsigned>> own_;   ///< by host and target: outstanding work it sent
+  std::vector<std::vector<unsigned>> turns_; ///< by host and service
   std::unordered_map<std::uint64_t, binding> bindings_;
   std::vector<std::deque<request_ref>> central_; ///< by service
 };
--- a/benchmarks/model/model.cpp
+++ b/benchmarks/model/model.cpp
@@ -64,7 +64,7 @@
 measures model::run() {
   start();
   for (unsigned service = 0; service < user_.services.size(); ++service)
-    arrive(service);
+    events_.after(what_.settling, [this, service] { arrive(service); });
   events_.after(what_.warm_up, [this] { sample(); });
   schedule_faults();
   const auto end = time_point{} + what_.warm_up + what_.length;
--- a/benchmarks/model/model.h
+++ b/benchmarks/model/model.h
@@ -27,6 +27,8 @@
   std::optional<time_point> arrived; ///< at the first place where it queued
   bool is_done = false;              ///< answered or given up
   unsigned attempts = 1;
+  /// Host and target whose count of outstanding work includes it; for baselines.
+  std::optional<std::pair<unsigned, unsigned>> charged;
 };
 
 using request_ref = std::shared_ptr<request>;
--- a/include/zinniarelay/balance/host_router.h
+++ b/include/zinniarelay/balance/host_router.h
@@ -3,7 +3,6 @@
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/membership/member.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -15,10 +14,15 @@
   microseconds zone_delay{5000};
   /// Assumed until a summary carries a measured one.
   microseconds service_time{20'000};
-  /// A decision counts as outstanding until a summary sent this long after it has arrived.
+  /// Time constant with which own decisions are forgotten.
   milliseconds decision_memory{1000};
-  /// Extra advantage that another zone must have before work is sent there.
-  microseconds spill_margin{2000};
+  /// Share of a flow's packets that reach the chooser's zone because it is near. The fabric
+  /// sprays packets over all hosts, so another zone costs no additional trip.
+  double locality = 0;
+  /// Advantage, in requests per slot, that another zone must have before flows go there.
+  double spill_margin = 0.1;
+  /// Part of a host's reported queue that one chooser makes up for by sending less.
+  double queue_share = 0.25;
 };
 
 /// Chooses the executing host of a new flow from load summaries (docs/design.md R22).
@@ -48,18 +52,19 @@
     std::uint32_t queued = 0;
     microseconds service_time{0};
     bool is_draining = false;
-    std::deque<time_point> decisions; ///< flows sent there that the summary does not show
+    double decisions = 0; ///< flows sent there, older ones count less
   };
   struct service_hosts {
     std::vector<candidate> hosts; ///< ordered by id
     bool is_spilling = false;
+    time_point aged;
   };
 
   void remove(host_id id);
   void age_decisions(time_point now, service_hosts& hosts) const;
   microseconds delay_to(zone_id zone) const;
-  microseconds wait_at(const candidate& it) const;
   double load_of(const candidate& it) const;
+  double trip_cost(const candidate& it) const;
   candidate* two_choices(std::vector<candidate*>& from);
   candidate* weighted_pick(const std::vector<candidate*>& from);
 
--- a/include/zinniarelay/balance/slot_exchange.h
+++ b/include/zinniarelay/balance/slot_exchange.h
@@ -19,6 +19,9 @@
   milliseconds renew_period{500};
   /// The lender takes back a grant that was not renewed for this long.
   milliseconds grant_lease{2000};
+  /// A release is repeated until the lender confirms it, at most this often. A lost one
+  /// would keep the slot idle for the whole grant lease.
+  unsigned release_attempts = 10;
   unsigned requests_in_flight = 4;   ///< per service
   std::size_t waiting_requests = 64; ///< kept for other hosts
 };
@@ -52,7 +55,8 @@
                                      dispatch_effects& out);
 
   /// Returns a borrowed slot to its lender.
-  void give_back(const borrowed& it, call_result result, microseconds held, dispatch_effects& out);
+  void give_back(time_point now, const borrowed& it, call_result result, microseconds held,
+                 dispatch_effects& out);
 
   /// Grants free slots to waiting requests of other hosts, after this host's own work.
   void serve(time_point now, service_id service, dispatch_effects& out);
@@ -82,6 +86,11 @@
     milliseconds valid{0};
     time_point renewed;
   };
+  struct unconfirmed_release {
+    wire::peer_packet packet;
+    time_point last_sent;
+    unsigned sent = 1;
+  };
   struct waiting_request {
     host_id borrower;
     incarnation_id borrower_incarnation;
@@ -94,17 +103,21 @@
   void renew(time_point now, const wire::peer_packet& packet);
   std::optional<borrowed> on_grant(time_point now, const wire::peer_packet& packet,
                                    dispatch_effects& out);
-  void on_release(time_point now, const wire::peer_packet& packet);
+  void on_release(time_point now, const wire::peer_packet& packet, dispatch_effects& out);
   void send_request(std::uint64_t sequence, const request& it, dispatch_effects& out) const;
   void send_grant(std::uint64_t grant, const lent_slot& it, dispatch_effects& out) const;
-  void send_release(host_id lender, std::uint64_t grant, call_result result, microseconds held,
-                    dispatch_effects& out) const;
+  void send_release(time_point now, host_id lender, std::uint64_t grant, call_result result,
+                    microseconds held, dispatch_effects& out);
+  void repeat_requests(time_point now, dispatch_effects& out);
+  void repeat_releases(time_point now, dispatch_effects& out);
+  void renew_grants(time_point now, dispatch_effects& out);
 
   slot_exchange_settings settings_;
   upstream_pool& pool_;
   lender_choice choose_;
   std::map<std::uint64_t, request> requests_; ///< by sequence
   std::map<std::pair<host_id, std::uint64_t>, borrowed> borrowed_;
+  std::map<std::pair<host_id, std::uint64_t>, unconfirmed_release> releases_;
   std::map<std::uint64_t, lent_slot> lent_; ///< by grant
   std::deque<waiting_request> waiting_;
   std::uint64_t next_sequence_ = 1;
--- a/libraries/balance/dispatch_queue.cpp
+++ b/libraries/balance/dispatch_queue.cpp
@@ -41,7 +41,7 @@
   const auto ended = at->second;
   running_.erase(at);
   if (ended.loan)
-    exchange_.give_back(*ended.loan, result, now - ended.started, out);
+    exchange_.give_back(now, *ended.loan, result, now - ended.started, out);
   else
     pool_.release(now, ended.slot, result, now - ended.started);
   dispatch(now, ended.slot.service, out);
@@ -77,7 +77,7 @@
   queue.last_upstream = now;
   drop_hopeless(now, loan->slot.service, queue, out);
   if (queue.waiting.empty())
-    exchange_.give_back(*loan, call_result::unused, microseconds{0}, out);
+    exchange_.give_back(now, *loan, call_result::unused, microseconds{0}, out);
   else
     start(now, loan->slot, loan, queue, out);
   return out;
--- a/libraries/balance/host_router.cpp
+++ b/libraries/balance/host_router.cpp
@@ -1,8 +1,27 @@
 #include "zinniarelay/balance/host_router.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinnia {
+namespace {
+
+// A host that joins starts with the mean share of the others; starting from nothing, it
+// would get every new flow until it had caught up.
+template <class Candidate>
+double fair_start(const std::vector<Candidate>& hosts, const Candidate& fresh,
+                  std::uint32_t slots) {
+  double decisions = 0;
+  std::uint64_t others = 0;
+  for (const auto& it : hosts) {
+    if (&it == &fresh) continue;
+    decisions += it.decisions;
+    others += it.slots;
+  }
+  return others == 0 ? 0 : decisions * slots / static_cast<double>(others);
+}
+
+} // namespace
 
 host_router::host_router(host_id self, zone_id zone, router_settings settings, std::uint64_t seed)
     : self_(self), zone_(zone), settings_(settings), engine_(seed) {}
@@ -27,7 +46,7 @@
     std::erase_if(list.hosts, [&](const candidate& it) { return it.id == id; });
 }
 
-void host_router::on_member(time_point now, const member& value) {
+void host_router::on_member(time_point, const member& value) {
   if (!value.is_live()) return on_forgotten(value.id);
   const std::pair version{value.incarnation, value.load.sequence};
   const auto seen = seen_.find(value.id);
@@ -41,13 +60,14 @@
     if (is_served) continue;
     std::erase_if(entry.second.hosts, [&](const candidate& it) { return it.id == value.id; });
   }
-  // A decision reaches the host through the caller, and the summary takes a trip back.
-  const auto unseen = now - 2 * delay_to(value.zone) - milliseconds(1);
   for (const auto& load : value.load.services) {
     auto& hosts = services_[load.service].hosts;
     auto at = std::lower_bound(hosts.begin(), hosts.end(), value.id,
                                [](const candidate& it, host_id id) { return it.id < id; });
-    if (at == hosts.end() || at->id != value.id) at = hosts.insert(at, candidate{});
+    if (at == hosts.end() || at->id != value.id) {
+      at = hosts.insert(at, candidate{});
+      at->decisions = fair_start(hosts, *at, load.slots);
+    }
     at->id = value.id;
     at->zone = value.zone;
     at->slots = load.slots;
@@ -55,27 +75,29 @@
     at->queued = load.queued;
     at->service_time = load.service_time.count() > 0 ? load.service_time : settings_.service_time;
     at->is_draining = value.load.draining;
-    while (!at->decisions.empty() && at->decisions.front() <= unseen)
-      at->decisions.pop_front();
   }
 }
 
 void host_router::age_decisions(time_point now, service_hosts& hosts) const {
+  const auto passed = std::chrono::duration<double>(now - hosts.aged);
+  const auto memory = std::chrono::duration<double>(settings_.decision_memory);
+  hosts.aged = now;
+  const double kept = std::exp(-passed / memory);
   for (auto& it : hosts.hosts)
-    while (!it.decisions.empty() && now - it.decisions.front() >= settings_.decision_memory)
-      it.decisions.pop_front();
+    it.decisions *= kept;
 }
 
+// A summary is older than most requests take, so the slots it shows in use say little.
+// Even shares of own decisions keep arrivals smooth, and a reported queue, which lasts
+// longer, is made up for by sending less.
 double host_router::load_of(const candidate& it) const {
-  const auto held = it.outstanding + it.queued + it.decisions.size() + 1;
-  return static_cast<double>(held) / it.slots;
+  const double queue = it.queued + std::max(0.0, double(it.outstanding) - it.slots);
+  return (it.decisions + settings_.queue_share * queue) / it.slots;
 }
 
-microseconds host_router::wait_at(const candidate& it) const {
-  const auto held = it.outstanding + it.queued + it.decisions.size();
-  if (held < it.slots) return microseconds{0};
-  const auto ahead = static_cast<std::int64_t>(held - it.slots + 1);
-  return microseconds(it.service_time.count() * ahead / it.slots);
+double host_router::trip_cost(const candidate& it) const {
+  const auto trips = 2.0 * static_cast<double>(delay_to(it.zone).count());
+  return settings_.locality * trips / static_cast<double>(it.service_time.count());
 }
 
 host_router::candidate* host_router::weighted_pick(const std::vector<candidate*>& from) {
@@ -121,12 +143,12 @@
   if (near == nullptr) {
     chosen = far;
   } else if (far != nullptr) {
-    // Hysteresis keeps the relay from moving flows between zones on every small change.
-    const auto margin = list.is_spilling ? microseconds{0} : settings_.spill_margin;
-    list.is_spilling = wait_at(*near) > wait_at(*far) + 2 * delay_to(far->zone) + margin;
+    // Hysteresis keeps flows from moving between zones on every small change.
+    const auto margin = list.is_spilling ? 0.0 : settings_.spill_margin;
+    list.is_spilling = load_of(*near) > load_of(*far) + trip_cost(*far) + margin;
     if (list.is_spilling) chosen = far;
   }
-  chosen->decisions.push_back(now);
+  chosen->decisions += 1;
   return chosen->id;
 }
 
--- a/libraries/balance/slot_exchange.cpp
+++ b/libraries/balance/slot_exchange.cpp
@@ -51,7 +51,7 @@
   case wire::peer_packet::kSlotGiven:
     return on_grant(now, packet, out);
   case wire::peer_packet::kSlotReturned:
-    on_release(now, packet);
+    on_release(now, packet, out);
     return std::nullopt;
   default:
     return std::nullopt;
@@ -109,12 +109,16 @@
 slot_exchange::on_grant(time_point now, const wire::peer_packet& packet, dispatch_effects& out) {
   const auto& given = packet.slot_given();
   const auto lender = sender(packet);
+  if (!given.granted()) {
+    releases_.erase({lender, given.grant()});
+    return std::nullopt;
+  }
   if (borrowed_.count({lender, given.grant()}) > 0) return std::nullopt;
   const auto asked = requests_.find(given.sequence());
   const auto address = endpoint::parse(given.upstream_address());
   if (asked == requests_.end() || asked->second.lender != lender || !address) {
     // This host has given up on the request, so the lender must not wait for the slot.
-    send_release(lender, given.grant(), call_result::unused, microseconds{0}, out);
+    send_release(now, lender, given.grant(), call_result::unused, microseconds{0}, out);
     return std::nullopt;
   }
   // The lender granted after the request was sent, so counting its lease from the sending
@@ -127,15 +131,19 @@
                       now + settings_.renew_period};
   requests_.erase(asked);
   if (now >= valid_until) {
-    send_release(lender, given.grant(), call_result::unused, microseconds{0}, out);
+    send_release(now, lender, given.grant(), call_result::unused, microseconds{0}, out);
     return std::nullopt;
   }
   borrowed_.emplace(std::pair{lender, given.grant()}, loan);
   return loan;
 }
 
-void slot_exchange::on_release(time_point now, const wire::peer_packet& packet) {
+void slot_exchange::on_release(time_point now, const wire::peer_packet& packet,
+                               dispatch_effects& out) {
   const auto& returned = packet.slot_returned();
+  wire::peer_packet confirmation;
+  confirmation.mutable_slot_given()->set_grant(returned.grant());
+  out.push_back(send_slot_message{sender(packet), std::move(confirmation)});
   const auto lent = lent_.find(returned.grant());
   if (lent == lent_.end() || lent->second.borrower != sender(packet)) return;
   const auto result = returned.failed()           ? call_result::failed
@@ -145,13 +153,25 @@
   lent_.erase(lent);
 }
 
-void slot_exchange::give_back(const borrowed& it, call_result result, microseconds held,
-                              dispatch_effects& out) {
+void slot_exchange::give_back(time_point now, const borrowed& it, call_result result,
+                              microseconds held, dispatch_effects& out) {
   borrowed_.erase({it.lender, it.grant});
-  send_release(it.lender, it.grant, result, held, out);
+  send_release(now, it.lender, it.grant, result, held, out);
 }
 
 void slot_exchange::tick(time_point now, dispatch_effects& out) {
+  repeat_requests(now, out);
+  repeat_releases(now, out);
+  renew_grants(now, out);
+  std::erase_if(lent_, [&](const auto& it) {
+    if (now - it.second.renewed < settings_.grant_lease) return false;
+    pool_.release(now, it.second.slot, call_result::abandoned, microseconds{0});
+    return true;
+  });
+  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
+}
+
+void slot_exchange::repeat_requests(time_point now, dispatch_effects& out) {
   for (auto at = requests_.begin(); at != requests_.end();) {
     auto& it = at->second;
     if (now - it.last_sent < settings_.answer_timeout) {
@@ -165,6 +185,25 @@
       ++at;
     }
   }
+}
+
+void slot_exchange::repeat_releases(time_point now, dispatch_effects& out) {
+  for (auto at = releases_.begin(); at != releases_.end();) {
+    auto& it = at->second;
+    if (now - it.last_sent < settings_.answer_timeout) {
+      ++at;
+    } else if (it.sent >= settings_.release_attempts) {
+      at = releases_.erase(at);
+    } else {
+      ++it.sent;
+      it.last_sent = now;
+      out.push_back(send_slot_message{at->first.first, it.packet});
+      ++at;
+    }
+  }
+}
+
+void slot_exchange::renew_grants(time_point now, dispatch_effects& out) {
   for (auto& [key, it] : borrowed_) {
     if (now < it.next_renewal) continue;
     it.next_renewal = now + settings_.renew_period;
@@ -173,12 +212,6 @@
     packet.mutable_slot_ask()->set_grant(it.grant);
     out.push_back(send_slot_message{it.lender, std::move(packet)});
   }
-  std::erase_if(lent_, [&](const auto& it) {
-    if (now - it.second.renewed < settings_.grant_lease) return false;
-    pool_.release(now, it.second.slot, call_result::abandoned, microseconds{0});
-    return true;
-  });
-  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
 }
 
 void slot_exchange::on_host_gone(time_point now, host_id host) {
@@ -189,6 +222,7 @@
   });
   std::erase_if(waiting_, [&](const auto& it) { return it.borrower == host; });
   std::erase_if(requests_, [&](const auto& it) { return it.second.lender == host; });
+  std::erase_if(releases_, [&](const auto& it) { return it.first.first == host; });
 }
 
 void slot_exchange::send_request(std::uint64_t sequence, const request& it,
@@ -213,8 +247,8 @@
   out.push_back(send_slot_message{it.borrower, std::move(packet)});
 }
 
-void slot_exchange::send_release(host_id lender, std::uint64_t grant, call_result result,
-                                 microseconds held, dispatch_effects& out) const {
+void slot_exchange::send_release(time_point now, host_id lender, std::uint64_t grant,
+                                 call_result result, microseconds held, dispatch_effects& out) {
   wire::peer_packet packet;
   auto& body = *packet.mutable_slot_returned();
   body.set_grant(grant);
@@ -223,6 +257,7 @@
   if (result == call_result::completed)
     body.set_service_ms(static_cast<std::uint32_t>(
         std::max<std::int64_t>(1, std::chrono::round<milliseconds>(held).count())));
+  releases_[{lender, grant}] = {packet, now, 1};
   out.push_back(send_slot_message{lender, std::move(packet)});
 }
 
