--- a/include/zinniarelay/balance/host_router.h
+++ b/include/zinniarelay/balance/host_router.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <unordered_map>
 
 namespace zinnia {
@@ -15,14 +16,17 @@
   /// Assumed until a summary carries a measured one.
   microseconds service_time{20'000};
   /// Time constant with which own decisions are forgotten.
-  milliseconds decision_memory{1000};
+  milliseconds decision_memory{300};
   /// Share of a flow's packets that reach the chooser's zone because it is near. The fabric
   /// sprays packets over all hosts, so another zone costs no additional trip.
   double locality = 0;
   /// Advantage, in requests per slot, that another zone must have before flows go there.
-  double spill_margin = 0.1;
+  double spill_margin = 0.02;
   /// Part of a host's reported queue that one chooser makes up for by sending less.
   double queue_share = 0.25;
+  /// One-way trips during which a slot borrowed from another zone is idle or its grant is
+  /// under way.
+  double trips_per_loan = 4;
 };
 
 /// Chooses the executing host of a new flow from load summaries (docs/design.md R22).
@@ -40,8 +44,10 @@
   /// Empty when no live host has an upstream of the service.
   std::optional<host_id> choose(time_point now, service_id service, std::uint64_t key);
 
-  /// A host of this zone that reports a free slot, for dispatch_queue's requests (R24).
-  std::optional<host_id> choose_lender(time_point now, service_id service);
+  /// The host to ask for a slot (R24), other than those asked already: one of this zone, or,
+  /// when the own queue costs more than the trips, one of another zone.
+  std::optional<host_id> choose_lender(time_point now, service_id service,
+                                       std::span<const host_id> asked = {});
 
 private:
   struct candidate {
@@ -65,6 +71,7 @@
   microseconds delay_to(zone_id zone) const;
   double load_of(const candidate& it) const;
   double trip_cost(const candidate& it) const;
+  bool is_loan_worth_trips(const service_hosts& list) const;
   candidate* two_choices(std::vector<candidate*>& from);
   candidate* weighted_pick(const std::vector<candidate*>& from);
 
--- a/include/zinniarelay/balance/slot_exchange.h
+++ b/include/zinniarelay/balance/slot_exchange.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <utility>
 
 namespace zinnia {
@@ -22,7 +23,10 @@
   /// A release is repeated until the lender confirms it, at most this often. A lost one
   /// would keep the slot idle for the whole grant lease.
   unsigned release_attempts = 10;
-  unsigned requests_in_flight = 4;   ///< per service
+  /// A request of another host goes first only when it is older by this much, because a
+  /// loan over a long trip wastes capacity that a host with a queue does not have.
+  milliseconds age_margin{100};
+  unsigned requests_in_flight = 2;   ///< per service, each to another host
   std::size_t waiting_requests = 64; ///< kept for other hosts
 };
 
@@ -31,8 +35,9 @@
 /// affects balance only, because the upstream refuses what it cannot take.
 class slot_exchange {
 public:
-  /// Names the host to ask for a slot of a service.
-  using lender_choice = std::function<std::optional<host_id>(time_point, service_id)>;
+  /// Names the host to ask for a slot of a service, other than those asked already.
+  using lender_choice =
+      std::function<std::optional<host_id>(time_point, service_id, std::span<const host_id> asked)>;
 
   /// A slot that another host granted.
   struct borrowed {
@@ -46,8 +51,10 @@
   slot_exchange(slot_exchange_settings settings, upstream_pool& pool, lender_choice choose,
                 std::uint64_t seed);
 
-  /// Asks for up to this number of slots, counting the requests already in flight.
-  void ask(time_point now, service_id service, std::size_t wanted, dispatch_effects& out);
+  /// Asks for slots for requests that have been queued since these times, oldest first,
+  /// counting the requests already in flight.
+  void ask(time_point now, service_id service, std::span<const time_point> queued,
+           dispatch_effects& out);
 
   /// Handles a slot message. Returns the slot when it was a grant to this host. The owner
   /// calls serve afterwards when it has no work of its own.
@@ -58,8 +65,10 @@
   void give_back(time_point now, const borrowed& it, call_result result, microseconds held,
                  dispatch_effects& out);
 
-  /// Grants free slots to waiting requests of other hosts, after this host's own work.
-  void serve(time_point now, service_id service, dispatch_effects& out);
+  /// Grants free slots to requests of other hosts that have waited longer than this host's
+  /// own oldest request, given as its queueing time, or to all when it has none.
+  void serve(time_point now, service_id service, std::optional<time_point> own_oldest,
+             dispatch_effects& out);
 
   /// Renews grants in use, repeats requests and takes back grants that were not renewed.
   void tick(time_point now, dispatch_effects& out);
@@ -74,6 +83,7 @@
   struct request {
     service_id service;
     host_id lender;
+    time_point queued;
     time_point first_sent;
     time_point last_sent;
     unsigned sent = 1;
@@ -96,6 +106,7 @@
     incarnation_id borrower_incarnation;
     std::uint64_t sequence = 0;
     service_id service;
+    time_point queued; ///< at the borrower, in the time of this host
     time_point expires;
   };
 
@@ -104,7 +115,8 @@
   std::optional<borrowed> on_grant(time_point now, const wire::peer_packet& packet,
                                    dispatch_effects& out);
   void on_release(time_point now, const wire::peer_packet& packet, dispatch_effects& out);
-  void send_request(std::uint64_t sequence, const request& it, dispatch_effects& out) const;
+  void send_request(time_point now, std::uint64_t sequence, const request& it,
+                    dispatch_effects& out) const;
   void send_grant(std::uint64_t grant, const lent_slot& it, dispatch_effects& out) const;
   void send_release(time_point now, host_id lender, std::uint64_t grant, call_result result,
                     microseconds held, dispatch_effects& out);
--- a/libraries/balance/dispatch_queue.cpp
+++ b/libraries/balance/dispatch_queue.cpp
@@ -153,21 +153,25 @@
   for (auto& [service, queue] : queues_)
     if (!queue.waiting.empty()) dispatch(now, service, out);
   for (const auto service : pool_.services())
-    if (queued(service) == 0) exchange_.serve(now, service, out);
+    if (queued(service) == 0) exchange_.serve(now, service, std::nullopt, out);
 }
 
 void dispatch_queue::dispatch(time_point now, service_id service, dispatch_effects& out) {
   auto& queue = queue_of(now, service);
   if (!queue.waiting.empty()) drop_hopeless(now, service, queue, out);
   while (!queue.waiting.empty()) {
+    exchange_.serve(now, service, queue.waiting.front().queued_at, out);
     const auto slot = pool_.acquire(now, service);
     if (!slot) break;
     start(now, *slot, std::nullopt, queue, out);
   }
-  if (queue.waiting.empty())
-    exchange_.serve(now, service, out);
-  else
-    exchange_.ask(now, service, queue.waiting.size(), out);
+  if (queue.waiting.empty()) return exchange_.serve(now, service, std::nullopt, out);
+  std::vector<time_point> queued;
+  for (const auto& it : queue.waiting) {
+    if (queued.size() >= settings_.exchange.requests_in_flight) break;
+    queued.push_back(it.queued_at);
+  }
+  exchange_.ask(now, service, queued, out);
 }
 
 void dispatch_queue::start(time_point now, const upstream_slot& slot,
--- a/libraries/balance/host_router.cpp
+++ b/libraries/balance/host_router.cpp
@@ -152,16 +152,37 @@
   return chosen->id;
 }
 
-std::optional<host_id> host_router::choose_lender(time_point, service_id service) {
+// Borrowing within the zone is almost free. A loan from another zone keeps its slot idle
+// during the trips; the shorter the service time, the larger the share of the slot that
+// this wastes, and the longer the own queue has to be.
+bool host_router::is_loan_worth_trips(const service_hosts& list) const {
+  const auto own = std::find_if(list.hosts.begin(), list.hosts.end(),
+                                [&](const candidate& it) { return it.id == self_; });
+  if (own == list.hosts.end() || own->slots == 0) return true;
+  const auto service_time = static_cast<double>(own->service_time.count());
+  const auto idle = settings_.trips_per_loan * static_cast<double>(settings_.zone_delay.count());
+  return service_time * own->queued / own->slots > idle * idle / service_time;
+}
+
+std::optional<host_id> host_router::choose_lender(time_point, service_id service,
+                                                  std::span<const host_id> asked) {
   const auto known = services_.find(service);
   if (known == services_.end()) return std::nullopt;
-  const candidate* best = nullptr;
-  for (const auto& it : known->second.hosts) {
-    if (it.id == self_ || it.zone != zone_ || it.slots == 0) continue;
-    if (best == nullptr || load_of(it) < load_of(*best)) best = &it;
+  std::vector<candidate*> local;
+  std::vector<candidate*> remote;
+  for (auto& it : known->second.hosts) {
+    const bool is_asked = std::find(asked.begin(), asked.end(), it.id) != asked.end();
+    if (it.id == self_ || it.slots == 0 || is_asked) continue;
+    // A host of the zone keeps the request until a slot is free. Loans over longer trips
+    // waste capacity, which a host with a queue does not have.
+    if (it.zone == zone_)
+      local.push_back(&it);
+    else if (it.queued == 0)
+      remote.push_back(&it);
   }
-  if (best == nullptr) return std::nullopt;
-  return best->id;
+  if (!local.empty()) return weighted_pick(local)->id;
+  if (remote.empty() || !is_loan_worth_trips(known->second)) return std::nullopt;
+  return weighted_pick(remote)->id;
 }
 
 } // namespace zinnia
--- a/libraries/balance/slot_exchange.cpp
+++ b/libraries/balance/slot_exchange.cpp
@@ -26,16 +26,20 @@
                     [&](const auto& it) { return it.second.service == service; }));
 }
 
-void slot_exchange::ask(time_point now, service_id service, std::size_t wanted,
+void slot_exchange::ask(time_point now, service_id service, std::span<const time_point> queued,
                         dispatch_effects& out) {
   if (!choose_) return;
-  const auto limit = std::min<std::size_t>(wanted, settings_.requests_in_flight);
-  for (auto n = in_flight(service); n < limit; ++n) {
-    const auto lender = choose_(now, service);
+  std::vector<host_id> asked;
+  for (const auto& [sequence, it] : requests_)
+    if (it.service == service) asked.push_back(it.lender);
+  const auto limit = std::min<std::size_t>(queued.size(), settings_.requests_in_flight);
+  while (asked.size() < limit) {
+    const auto lender = choose_(now, service, asked);
     if (!lender) return;
-    const request it{service, *lender, now, now, 1};
-    send_request(next_sequence_, it, out);
+    const request it{service, *lender, queued[asked.size()], now, now, 1};
+    send_request(now, next_sequence_, it, out);
     requests_.emplace(next_sequence_++, it);
+    asked.push_back(*lender);
   }
 }
 
@@ -70,6 +74,7 @@
     return;
   }
   const auto expires = now + settings_.answer_timeout;
+  const auto queued = now - milliseconds(ask.waited_ms());
   for (auto& it : waiting_) {
     if (it.borrower != sender(packet) || it.sequence != ask.sequence()) continue;
     it.expires = expires;
@@ -77,7 +82,7 @@
   }
   if (waiting_.size() >= settings_.waiting_requests) return;
   waiting_.push_back({sender(packet), sender_incarnation(packet), ask.sequence(),
-                      service_id{ask.service_id()}, expires});
+                      service_id{ask.service_id()}, queued, expires});
 }
 
 void slot_exchange::renew(time_point now, const wire::peer_packet& packet) {
@@ -85,23 +90,25 @@
   if (lent != lent_.end() && lent->second.borrower == sender(packet)) lent->second.renewed = now;
 }
 
-void slot_exchange::serve(time_point now, service_id service, dispatch_effects& out) {
-  for (auto at = waiting_.begin(); at != waiting_.end();) {
-    if (now >= at->expires) {
-      at = waiting_.erase(at);
-      continue;
-    }
-    if (at->service != service) {
-      ++at;
-      continue;
-    }
+// The oldest request goes first, wherever it waits, as in one queue for all hosts.
+void slot_exchange::serve(time_point now, service_id service, std::optional<time_point> own_oldest,
+                          dispatch_effects& out) {
+  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
+  while (true) {
+    auto oldest = waiting_.end();
+    for (auto at = waiting_.begin(); at != waiting_.end(); ++at)
+      if (at->service == service && (oldest == waiting_.end() || at->queued < oldest->queued))
+        oldest = at;
+    if (oldest == waiting_.end()) return;
+    if (own_oldest && oldest->queued + settings_.age_margin >= *own_oldest) return;
     const auto slot = pool_.acquire(now, service);
     if (!slot) return;
     const auto valid = std::chrono::duration_cast<milliseconds>(slot->valid_until - now);
-    const lent_slot it{at->borrower, at->borrower_incarnation, at->sequence, *slot, valid, now};
+    const lent_slot it{
+        oldest->borrower, oldest->borrower_incarnation, oldest->sequence, *slot, valid, now};
     send_grant(next_grant_, it, out);
     lent_.emplace(next_grant_++, it);
-    at = waiting_.erase(at);
+    waiting_.erase(oldest);
   }
 }
 
@@ -181,7 +188,7 @@
     } else {
       ++it.sent;
       it.last_sent = now;
-      send_request(at->first, it, out);
+      send_request(now, at->first, it, out);
       ++at;
     }
   }
@@ -225,11 +232,13 @@
   std::erase_if(releases_, [&](const auto& it) { return it.first.first == host; });
 }
 
-void slot_exchange::send_request(std::uint64_t sequence, const request& it,
+void slot_exchange::send_request(time_point now, std::uint64_t sequence, const request& it,
                                  dispatch_effects& out) const {
   wire::peer_packet packet;
   packet.mutable_slot_ask()->set_service_id(it.service.value);
   packet.mutable_slot_ask()->set_sequence(sequence);
+  packet.mutable_slot_ask()->set_waited_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(now - it.queued).count()));
   out.push_back(send_slot_message{it.lender, std::move(packet)});
 }
 
