--- a/benchmarks/model/relay_model.cpp
+++ b/benchmarks/model/relay_model.cpp
@@ -188,10 +188,12 @@
       const auto request = known->second;
       it.requests.erase(known);
       // Refused as not_run: the caller may open again elsewhere while its deadline allows.
-      if (refused->reason == reject_reason::no_upstream)
+      if (refused->reason == reject_reason::no_upstream) {
+        routes_.erase(request->flow);
         retry_later(request);
-      else
+      } else {
         gave_up(request);
+      }
     } else if (const auto* message = std::get_if<send_slot_message>(&effect)) {
       auto packet = message->packet;
       packet.set_from_host(host + 1);
--- a/include/zinniarelay/balance/dispatch_queue.h
+++ b/include/zinniarelay/balance/dispatch_queue.h
@@ -16,9 +16,12 @@
   std::uint32_t queue_per_slot = 16;
   std::uint32_t minimum_queue = 64;
   /// A request is refused when its expected wait leaves less than this many mean service times.
-  double service_margin = 3;
+  double service_margin = 5;
   /// How long a request waits while no upstream may get work.
-  milliseconds no_upstream_grace{1000};
+  milliseconds no_upstream_grace{300};
+  /// A waiting request with less than this many mean service times left is refused, because
+  /// most of such calls would be cancelled after using a slot that others wait for.
+  double least_remaining = 4;
   slot_exchange_settings exchange;
 };
 
--- a/include/zinniarelay/balance/host_router.h
+++ b/include/zinniarelay/balance/host_router.h
@@ -71,7 +71,7 @@
   microseconds delay_to(zone_id zone) const;
   double load_of(const candidate& it) const;
   double trip_cost(const candidate& it) const;
-  bool is_loan_worth_trips(const service_hosts& list) const;
+  bool is_loan_worth_trips(const candidate& own) const;
   candidate* two_choices(std::vector<candidate*>& from);
   candidate* weighted_pick(const std::vector<candidate*>& from);
 
--- a/include/zinniarelay/upstream/upstream_pool.h
+++ b/include/zinniarelay/upstream/upstream_pool.h
@@ -105,7 +105,8 @@
   void supersede_others(const upstream_announcement& said);
   std::uint32_t usable_slots(const upstream& it) const;
   bool has_permission(time_point now, const upstream& it) const;
-  bool is_healthy(time_point now, const upstream& it) const;
+  enum class health : std::uint8_t { healthy, doubtful, unhealthy };
+  health health_of(time_point now, const upstream& it) const;
   bool is_connected(const upstream& it) const;
   bool is_distrusted(time_point now, const service_state& service) const;
   template <class Visitor>
--- a/libraries/balance/dispatch_queue.cpp
+++ b/libraries/balance/dispatch_queue.cpp
@@ -6,10 +6,6 @@
 namespace zinnia {
 namespace {
 
-// A request with less than this many mean service times left is refused instead of
-// started, because most of such calls would be cancelled after using a slot.
-constexpr double least_remaining = 0.5;
-
 microseconds scaled(microseconds value, double factor) {
   return microseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
 }
@@ -138,7 +134,10 @@
                                    dispatch_effects& out) {
   if (pool_.usable_slots(now, service) > 0) queue.last_upstream = now;
   const bool is_abandoned = now - queue.last_upstream >= settings_.no_upstream_grace;
-  const auto least = scaled(pool_.service_time(service), least_remaining);
+  // A request that waits alone is worth a try: no other request needs the slot.
+  const bool is_contended = queue.waiting.size() > 1;
+  const auto least = is_contended ? scaled(pool_.service_time(service), settings_.least_remaining)
+                                  : microseconds{0};
   std::erase_if(queue.waiting, [&](const queued_work& it) {
     const bool is_late = now + least > it.request.deadline || now >= it.request.deadline;
     if (!is_late && !is_abandoned) return false;
--- a/libraries/balance/host_router.cpp
+++ b/libraries/balance/host_router.cpp
@@ -152,22 +152,14 @@
   return chosen->id;
 }
 
-// Borrowing within the zone is almost free. A loan from another zone keeps its slot idle
-// during the trips; the shorter the service time, the larger the share of the slot that
-// this wastes, and the longer the own queue has to be.
-bool host_router::is_loan_worth_trips(const service_hosts& list) const {
-  const auto own = std::find_if(list.hosts.begin(), list.hosts.end(),
-                                [&](const candidate& it) { return it.id == self_; });
-  if (own == list.hosts.end() || own->slots == 0) return true;
-  const auto service_time = static_cast<double>(own->service_time.count());
-  const auto idle = settings_.trips_per_loan * static_cast<double>(settings_.zone_delay.count());
-  return service_time * own->queued / own->slots > idle * idle / service_time;
-}
-
 std::optional<host_id> host_router::choose_lender(time_point, service_id service,
                                                   std::span<const host_id> asked) {
   const auto known = services_.find(service);
   if (known == services_.end()) return std::nullopt;
+  const auto& hosts = known->second.hosts;
+  const auto own =
+      std::find_if(hosts.begin(), hosts.end(), [&](const candidate& it) { return it.id == self_; });
+  const bool is_stranded = own == hosts.end() || own->slots == 0;
   std::vector<candidate*> local;
   std::vector<candidate*> remote;
   for (auto& it : known->second.hosts) {
@@ -177,12 +169,21 @@
     // waste capacity, which a host with a queue does not have.
     if (it.zone == zone_)
       local.push_back(&it);
-    else if (it.queued == 0)
+    else if (is_stranded || (it.queued == 0 && is_loan_worth_trips(*own)))
       remote.push_back(&it);
   }
   if (!local.empty()) return weighted_pick(local)->id;
-  if (remote.empty() || !is_loan_worth_trips(known->second)) return std::nullopt;
+  if (remote.empty()) return std::nullopt;
   return weighted_pick(remote)->id;
 }
 
+// A loan from another zone keeps its slot idle during the trips; the shorter the service
+// time, the larger the share of the slot that this wastes, and the longer the own queue
+// has to be.
+bool host_router::is_loan_worth_trips(const candidate& own) const {
+  const auto service_time = static_cast<double>(own.service_time.count());
+  const auto idle = settings_.trips_per_loan * static_cast<double>(settings_.zone_delay.count());
+  return service_time * own.queued / own.slots > idle * idle / service_time;
+}
+
 } // namespace zinnia
--- a/libraries/upstream/upstream_pool.cpp
+++ b/libraries/upstream/upstream_pool.cpp
@@ -103,15 +103,18 @@
 
 std::optional<upstream_slot> upstream_pool::acquire(time_point now, service_id service) {
   notice_time(now);
-  upstream* best = nullptr;
-  for_each_usable(now, service, [&](const upstream& it) {
-    if (it.outstanding >= usable_slots(it) || now < it.paused_until) return;
-    // Compares outstanding / usable without a division; ties go to the least recently used.
-    const auto left = std::uint64_t{it.outstanding} * (best ? usable_slots(*best) : 1);
-    const auto right = best ? std::uint64_t{best->outstanding} * usable_slots(it) : 0;
-    if (!best || left < right || (left == right && it.last_used < best->last_used))
-      best = &upstreams_.at(it.incarnation);
+  const upstream* chosen = nullptr;
+  std::uint32_t chosen_slots = 1;
+  for_each_usable(now, service, [&](const upstream& it, std::uint32_t slots) {
+    if (it.outstanding >= slots || now < it.paused_until) return;
+    // Compares outstanding / slots without a division; ties go to the least recently used.
+    const auto left = std::uint64_t{it.outstanding} * chosen_slots;
+    const auto right = chosen ? std::uint64_t{chosen->outstanding} * slots : 0;
+    if (chosen && (left > right || (left == right && it.last_used > chosen->last_used))) return;
+    chosen = &it;
+    chosen_slots = slots;
   });
+  auto* best = chosen ? &upstreams_.at(chosen->incarnation) : nullptr;
   if (best == nullptr) return std::nullopt;
   ++best->outstanding;
   best->last_used = ++uses_;
@@ -246,12 +249,17 @@
 }
 
 // The order is that of docs/design.md R19; a later source counts only when there is no
-// fresh evidence from an earlier one.
-bool upstream_pool::is_healthy(time_point now, const upstream& it) const {
+// fresh evidence from an earlier one. Probes and reports may be false, and an upstream
+// without work gives no better evidence, so on their word alone it stays in use for one
+// call at a time.
+upstream_pool::health upstream_pool::health_of(time_point now, const upstream& it) const {
   if (it.last_call && now - *it.last_call < settings_.call_evidence)
-    return it.failures_in_row < settings_.failures_before_unhealthy;
-  if (it.last_probe && now - *it.last_probe < settings_.probe_evidence) return it.is_probe_healthy;
-  return !it.is_reported_unhealthy;
+    return it.failures_in_row < settings_.failures_before_unhealthy ? health::healthy
+                                                                    : health::unhealthy;
+  if (it.failures_in_row >= settings_.failures_before_unhealthy) return health::doubtful;
+  const bool is_probed = it.last_probe && now - *it.last_probe < settings_.probe_evidence;
+  const bool is_good = is_probed ? it.is_probe_healthy : !it.is_reported_unhealthy;
+  return is_good ? health::healthy : health::doubtful;
 }
 
 bool upstream_pool::is_distrusted(time_point now, const service_state& service) const {
@@ -261,34 +269,37 @@
     const auto& it = upstreams_.at(id);
     if (!has_permission(now, it)) continue;
     ++all;
-    if (!is_healthy(now, it)) ++unhealthy;
+    if (health_of(now, it) != health::healthy) ++unhealthy;
   }
   return all > 0 && unhealthy * 100 >= all * settings_.distrust_percent;
 }
 
+// Visits each upstream that may get work, with the slots that it may use.
 template <class Visitor>
 void upstream_pool::for_each_usable(time_point now, service_id service, Visitor visit) const {
   const auto known = services_.find(service);
   if (known == services_.end()) return;
-  const bool is_all = is_distrusted(now, known->second);
+  const bool is_distrusting = is_distrusted(now, known->second);
   for (const auto id : known->second.upstreams) {
     const auto& it = upstreams_.at(id);
-    if (has_permission(now, it) && is_connected(it) && (is_all || is_healthy(now, it))) visit(it);
+    if (!has_permission(now, it) || !is_connected(it)) continue;
+    const auto seen = is_distrusting ? health::healthy : health_of(now, it);
+    if (seen == health::healthy) visit(it, usable_slots(it));
+    if (seen == health::doubtful) visit(it, 1U);
   }
 }
 
 std::uint32_t upstream_pool::free_slots(time_point now, service_id service) const {
   std::uint32_t sum = 0;
-  for_each_usable(now, service, [&](const upstream& it) {
-    if (now >= it.paused_until)
-      sum += usable_slots(it) - std::min(usable_slots(it), it.outstanding);
+  for_each_usable(now, service, [&](const upstream& it, std::uint32_t slots) {
+    if (now >= it.paused_until) sum += slots - std::min(slots, it.outstanding);
   });
   return sum;
 }
 
 std::uint32_t upstream_pool::usable_slots(time_point now, service_id service) const {
   std::uint32_t sum = 0;
-  for_each_usable(now, service, [&](const upstream& it) { sum += usable_slots(it); });
+  for_each_usable(now, service, [&](const upstream&, std::uint32_t slots) { sum += slots; });
   return sum;
 }
 
@@ -317,13 +328,13 @@
 std::vector<upstream_view> upstream_pool::upstreams(time_point now) const {
   std::vector<upstream_view> list;
   for (const auto& [id, it] : upstreams_) {
-    const std::string_view state = it.is_superseded                ? "superseded"
-                                   : it.is_leaving                 ? "leaving"
-                                   : drains_.count(it.address) > 0 ? "draining"
-                                   : now >= it.lease_until         ? "expired"
-                                   : !is_connected(it)             ? "silent"
-                                   : !is_healthy(now, it)          ? "unhealthy"
-                                                                   : "serving";
+    const std::string_view state = it.is_superseded                        ? "superseded"
+                                   : it.is_leaving                         ? "leaving"
+                                   : drains_.count(it.address) > 0         ? "draining"
+                                   : now >= it.lease_until                 ? "expired"
+                                   : !is_connected(it)                     ? "silent"
+                                   : health_of(now, it) != health::healthy ? "unhealthy"
+                                                                           : "serving";
     list.push_back({it.service, id, it.address, it.slots, usable_slots(it), it.outstanding, state});
   }
   return list;
