--- a/include/zinniarelay/balance/slot_exchange.h
+++ b/include/zinniarelay/balance/slot_exchange.h
@@ -17,9 +17,11 @@
   milliseconds answer_timeout{50};
   unsigned attempts = 2;
   /// A borrower renews a grant in use this often.
-  milliseconds renew_period{500};
-  /// The lender takes back a grant that was not renewed for this long.
-  milliseconds grant_lease{2000};
+  milliseconds renew_period{100};
+  /// The lender takes back a grant that was not renewed for this long, because the grant or
+  /// its release was lost or the borrower is gone. The shorter it is, the less a lost
+  /// message costs; three renewals may be lost before a slot in use is counted as free.
+  milliseconds grant_lease{400};
   /// A release is repeated until the lender confirms it, at most this often. A lost one
   /// would keep the slot idle for the whole grant lease.
   unsigned release_attempts = 10;
--- a/include/zinniarelay/membership/member_table.h
+++ b/include/zinniarelay/membership/member_table.h
@@ -15,7 +15,7 @@
   /// A probe without an answer for this long is repeated through other hosts.
   milliseconds answer_timeout{200};
   /// Time in which a suspect can refute before it counts as dead.
-  milliseconds suspicion{2000};
+  milliseconds suspicion{3000};
   /// A dead or departed host is removed after this time.
   milliseconds forget_after{60'000};
   unsigned indirect_probes = 2;
@@ -81,6 +81,7 @@
   void expire_members(time_point now, member_effects& out);
   void probe_next(time_point now, member_effects& out);
   void probe_unreached(time_point now, member_effects& out);
+  void probe_suspect(time_point now, member_effects& out);
   void send_load(time_point now, member_effects& out);
   std::uint64_t probe(time_point now, host_id target, endpoint to, bool is_verification,
                       member_effects& out);
@@ -105,6 +106,7 @@
   std::unordered_map<std::uint64_t, pending_probe> pending_;
   std::unordered_map<std::uint64_t, relayed_probe> relayed_;
   std::deque<rumour> rumours_;
+  std::vector<host_id> own_suspicions_; ///< hosts that this host has suspected itself
   std::vector<host_id> load_turns_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t periods_ = 0;
--- a/libraries/membership/member_table.cpp
+++ b/libraries/membership/member_table.cpp
@@ -78,6 +78,7 @@
   next_probe_ = now + settings_.probe_period;
   ++periods_;
   probe_next(now, out);
+  probe_suspect(now, out);
   if (periods_ % periods_between_reunions == 0) probe_unreached(now, out);
 }
 
@@ -178,8 +179,10 @@
     if (now - it.sent >= settings_.probe_period) {
       const auto known = members_.find(it.target);
       if (!it.is_verification && known != members_.end() &&
-          known->second.state == member_state::alive)
+          known->second.state == member_state::alive) {
         set_state(now, known->second, member_state::suspect, out);
+        own_suspicions_.push_back(it.target);
+      }
       pending_.erase(sequence);
       continue;
     }
@@ -251,6 +254,19 @@
   probe(now, chosen.id, chosen.address, true, out);
 }
 
+// A suspect can refute only what it hears. The host that raised the suspicion tells it in
+// every period, because rumours may reach it too late; other hosts do not, so that one
+// suspicion does not cost a packet from every host.
+void member_table::probe_suspect(time_point now, member_effects& out) {
+  std::erase_if(own_suspicions_, [&](host_id id) {
+    const auto* known = find(id);
+    return known == nullptr || known->state != member_state::suspect;
+  });
+  if (own_suspicions_.empty()) return;
+  const auto id = own_suspicions_[periods_ % own_suspicions_.size()];
+  probe(now, id, members_.at(id).address, true, out);
+}
+
 void member_table::send_load(time_point now, member_effects& out) {
   is_load_unsent_ = false;
   next_load_ = now + settings_.load_period;
