caller: printing the latency histogram ends

With the default storage of Boost.Histogram 1.74, comparing a cell with an integer calls itself without end, so the caller hung after its last request.

--- /dev/null
+++ b/meta/layout.sh
@@ -0,0 +1,235 @@
+# Functions that start and stop the processes of one installation on the
+# loopback network. Sourced by meta/demo, meta/prove and meta/bench.
+#
+# Each run has an address of its own in 127.0.0.0/8, so that runs at the same
+# time do not meet. Zones are 1 and 2; hosts with odd numbers are in zone 1.
+
+bin=$PWD/build/bin
+declare -A pid_of=()   # process id by name
+
+# layout_open FOLDER_NAME: makes the work folder and ends everything at exit.
+layout_open() {
+  work=$(mktemp -d "${TMPDIR:-/tmp}/zinnia-$1.XXXXXX")
+  ip=127.$((10 + $$ / 62500 % 200)).$(($$ / 250 % 250)).$((1 + $$ % 250))
+  trap layout_close EXIT
+  trap 'exit 130' INT TERM
+  mkdir "$work/logs"
+}
+
+# Ends every process that start() started, by its id, and waits for it.
+layout_close() {
+  local code=$? name pid
+  trap - EXIT
+  for name in "${!pid_of[@]}"; do
+    kill -CONT "${pid_of[$name]}" 2>/dev/null || true
+    kill -KILL "${pid_of[$name]}" 2>/dev/null || true
+  done
+  for pid in "${pid_of[@]}"; do wait "$pid" 2>/dev/null || true; done
+  if [ "$code" -ne 0 ] || [ -n "${KEEP_WORK:-}" ]; then
+    echo "logs and journals are kept in $work" >&2
+  else
+    rm -rf "$work"
+  fi
+  exit "$code"
+}
+
+# start NAME COMMAND...: runs a process in the background; its log is logs/NAME.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$work/logs/$name" 2>&1 &
+  pid_of[$name]=$!
+}
+
+is_running() { kill -0 "${pid_of[$1]}" 2>/dev/null; }
+
+send_signal() { kill -"$2" "${pid_of[$1]}"; }
+
+# finish NAME: waits for the process to end and returns its exit code.
+finish() {
+  local code=0
+  wait "${pid_of[$1]}" || code=$?
+  unset "pid_of[$1]"
+  return "$code"
+}
+
+# kill_now NAME: ends the process without notice.
+kill_now() {
+  send_signal "$1" KILL
+  finish "$1" 2>/dev/null || true
+}
+
+# wait_until SECONDS WHAT COMMAND...: fails when the command does not succeed in time.
+wait_until() {
+  local end=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$end" ]; then
+      echo "gave up waiting: $what" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+has_logged() { grep -q -- "$2" "$work/logs/$1"; }
+
+control_address() { echo "$ip:$((7100 + $1))"; }
+fabric_address() { echo "$ip:$((7200 + $1))"; }
+peer_address() { echo "$ip:$((7300 + $1))"; }
+registration_address() { echo "$ip:$((7400 + $1))"; }
+upstream_address() { echo "$ip:$((7500 + $1))"; }
+fabric_listen=7001
+fabric_control=7002
+service_address() {
+  case $1 in
+  registry) echo "$ip:7010" ;;
+  catalogue) echo "$ip:7011" ;;
+  esac
+}
+
+zone_of_number() { echo $((2 - $1 % 2)); }
+
+# control_list COUNT: the control addresses as a YAML list.
+address_list() {
+  local kind=$1 count=$2 n list=""
+  for ((n = 1; n <= count; n++)); do list+="${list:+, }\"$("$kind" "$n")\""; done
+  echo "[$list]"
+}
+
+# write_settings CONTROLS ENTRIES: settings and data folders of all hosts, keys,
+# credentials and the declaration.
+write_settings() {
+  local controls=$1 entries=$2 n members=""
+  control_count=$controls
+  entry_count=$entries
+  "$bin/zinniactl" keys generate "$work/keys.yaml" >>"$work/logs/zinniactl"
+  for ((n = 1; n <= controls; n++)); do
+    members+="  - {id: $n, address: \"$(control_address "$n")\", zone: $(zone_of_number "$n")}"$'\n'
+  done
+  for ((n = 1; n <= controls; n++)); do
+    mkdir "$work/control$n"
+    cat >"$work/control$n.yaml" <<END
+control: $n
+availability_zone: $(zone_of_number "$n")
+address: "$(control_address "$n")"
+cluster: 4711
+data_folder: control$n
+founding_members:
+$members
+END
+  done
+  for ((n = 1; n <= entries; n++)); do
+    mkdir "$work/entry$n"
+    cat >"$work/entry$n.yaml" <<END
+host: $n
+availability_zone: $(zone_of_number "$n")
+fabric_address: "$(fabric_address "$n")"
+peer_address: "$(peer_address "$n")"
+registration_address: "$(registration_address "$n")"
+control_hosts: $(address_list control_address "$controls")
+seeds: $(address_list peer_address "$entries")
+keys_file: keys.yaml
+data_folder: entry$n
+END
+  done
+  echo "registry credential of $work" >"$work/registry.credential"
+  echo "catalogue credential of $work" >"$work/catalogue.credential"
+  write_declaration 20
+}
+
+# write_declaration SLOW_START: declares both services.
+write_declaration() {
+  cat >"$work/services.yaml" <<END
+services:
+  - name: registry
+    address: "$(service_address registry)"
+    methods:
+      - {name: lookup, kind: idempotent, deadline: 30 s}
+      - {name: certify, kind: non-idempotent, deadline: 30 s}
+    join: {slow_start_requests: $1}
+    announce: {credential_file: registry.credential}
+  - name: catalogue
+    address: "$(service_address catalogue)"
+    methods:
+      - {name: lookup, kind: idempotent, deadline: 30 s}
+      - {name: download, kind: idempotent, deadline: 30 s}
+    join: {slow_start_requests: $1}
+    announce: {credential_file: catalogue.credential}
+END
+}
+
+start_control() { start "control$1" "$bin/zinnia-controld" --settings "$work/control$1.yaml" "${@:2}"; }
+
+start_entry() { start "entry$1" "$bin/zinnia-entryd" --settings "$work/entry$1.yaml"; }
+
+# start_fabric OPTIONS...: in front of all entry hosts and both services.
+start_fabric() {
+  local n hosts=()
+  for ((n = 1; n <= entry_count; n++)); do hosts+=(--host "$(fabric_address "$n")"); done
+  start fabric "$bin/zinnia-fabric" --listen "$ip:$fabric_listen" --control "$ip:$fabric_control" \
+    --service "$(service_address registry)" --service "$(service_address catalogue)" \
+    "${hosts[@]}" "$@"
+  wait_until 10 "fabric" has_logged fabric "fabric is ready"
+}
+
+# fabric_command WORDS...: sends one command and prints the reply.
+fabric_command() {
+  local reply
+  exec {fabric_socket}<>"/dev/udp/$ip/$fabric_control"
+  echo -n "$*" >&"$fabric_socket"
+  # The shell's own read takes single bytes, which would cut the datagram off.
+  reply=$(timeout 5 head -n 1 <&"$fabric_socket") || reply="no reply"
+  exec {fabric_socket}>&-
+  echo "$reply"
+  [[ $reply != error* && $reply != "no reply" ]]
+}
+
+# start_upstream NUMBER SERVICE OPTIONS...: its zone follows from its number.
+start_upstream() {
+  local number=$1 service=$2 n entries=()
+  shift 2
+  for ((n = 1; n <= entry_count; n++)); do
+    if [ "$(zone_of_number "$n")" = "$(zone_of_number "$number")" ]; then
+      entries+=(--entry "$(registration_address "$n")")
+    fi
+  done
+  start "upstream$number" "$bin/zinnia-upstream" "${entries[@]}" --service "$service" \
+    --credential-file "$work/$service.credential" --zone "$(zone_of_number "$number")" \
+    --address "$(upstream_address "$number")" --journal "$work/upstream$number.journal" "$@"
+}
+
+wait_announced() { wait_until 20 "upstream $1 announced" has_logged "upstream$1" "announced"; }
+
+# start_caller NAME SERVICE OPTIONS...: its journal is NAME.journal.
+start_caller() {
+  local name=$1 service=$2
+  shift 2
+  start "$name" "$bin/zinnia-caller" --service "$service" \
+    --service-address "$(service_address "$service")" --journal "$work/$name.journal" "$@"
+}
+
+summary_of() { grep '^service=' "$work/logs/$1" || true; }
+
+# value_of FIELD NAME: one count from the summary of a caller.
+value_of() { summary_of "$2" | sed -n "s/.* $1=\([0-9.]*\).*/\1/p"; }
+
+# Lines of journals are "FLOW NUMBER METHOD DIGEST" of upstreams and "METHOD
+# DIGEST OUTCOME REASON LENGTH" of callers. A digest names one request of a caller.
+started_digests() { cat "$work"/upstream*.journal 2>/dev/null | awk '$3 == "certify" {print $4}'; }
+
+# Requests that were started more than once.
+doubled_requests() { started_digests | sort | uniq -d; }
+
+# digests_with OUTCOME: non-idempotent requests of all callers that ended so.
+digests_with() {
+  cat "$work"/caller*.journal 2>/dev/null | awk -v kind="$1" '$1 == "certify" && $3 == kind {print $2}' | sort -u
+}
+
+# Requests of which the caller was told that they did not run, and that did.
+run_after_not_run() { comm -12 <(digests_with outcome_not_run) <(started_digests | sort -u); }
+
+# Requests of which the caller has an answer, and that no upstream started.
+answered_but_not_run() { comm -23 <(digests_with outcome_answered) <(started_digests | sort -u); }
+
+count_lines() { wc -l | tr -d ' '; }
--- a/utilities/caller/latency_histogram.h
+++ b/utilities/caller/latency_histogram.h
@@ -4,7 +4,10 @@
 
 #include <boost/histogram.hpp>
 
+#include <cstdint>
+#include <iomanip>
 #include <ostream>
+#include <vector>
 
 namespace zinnia::utilities {
 
@@ -19,8 +22,25 @@
 private:
   using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
 
-  decltype(boost::histogram::make_histogram(axis())) bins_ =
-      boost::histogram::make_histogram(axis(60, 0.01, 100'000));
+  // The default storage of Boost.Histogram 1.74 recurses without end when a cell is
+  // compared with an integer, so the cells are plain integers.
+  using storage = std::vector<std::uint64_t>;
+
+  decltype(boost::histogram::make_histogram_with(storage(), axis())) bins_ =
+      boost::histogram::make_histogram_with(storage(), axis(60, 0.01, 100'000));
 };
 
+inline void latency_histogram::print(std::ostream& out) const {
+  const auto total = boost::histogram::algorithm::sum(bins_);
+  if (total == 0) return;
+  out << "latency: up to ms, count, share up to there\n" << std::fixed << std::setprecision(2);
+  std::uint64_t sum = 0;
+  for (auto&& it : boost::histogram::indexed(bins_)) {
+    if (*it == 0) continue;
+    sum += *it;
+    out << std::setw(12) << it.bin().upper() << std::setw(10) << *it << std::setw(9)
+        << 100 * static_cast<double>(sum) / static_cast<double>(total) << "%\n";
+  }
+}
+
 } // namespace zinnia::utilities
