--- a/meta/layout.sh
+++ b/meta/layout.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions that start and stop the processes of one installation on the
 # loopback network. Sourced by meta/demo, meta/prove and meta/bench.
 #
@@ -10,21 +11,27 @@
 # layout_open FOLDER_NAME: makes the work folder and ends everything at exit.
 layout_open() {
   work=$(mktemp -d "${TMPDIR:-/tmp}/zinnia-$1.XXXXXX")
-  ip=127.$((10 + $$ / 62500 % 200)).$(($$ / 250 % 250)).$((1 + $$ % 250))
+  ip=127.$((10 + BASHPID / 62500 % 200)).$((BASHPID / 250 % 250)).$((1 + BASHPID % 250))
   trap layout_close EXIT
   trap 'exit 130' INT TERM
   mkdir "$work/logs"
 }
 
 # Ends every process that start() started, by its id, and waits for it.
-layout_close() {
-  local code=$? name pid
-  trap - EXIT
+layout_stop_all() {
+  local name pid
   for name in "${!pid_of[@]}"; do
     kill -CONT "${pid_of[$name]}" 2>/dev/null || true
     kill -KILL "${pid_of[$name]}" 2>/dev/null || true
   done
   for pid in "${pid_of[@]}"; do wait "$pid" 2>/dev/null || true; done
+  pid_of=()
+}
+
+layout_close() {
+  local code=$?
+  trap - EXIT
+  layout_stop_all
   if [ "$code" -ne 0 ] || [ -n "${KEEP_WORK:-}" ]; then
     echo "logs and journals are kept in $work" >&2
   else
@@ -90,7 +97,7 @@
 
 zone_of_number() { echo $((2 - $1 % 2)); }
 
-# control_list COUNT: the control addresses as a YAML list.
+# address_list FUNCTION COUNT: the addresses of hosts 1 to COUNT as a YAML list.
 address_list() {
   local kind=$1 count=$2 n list=""
   for ((n = 1; n <= count; n++)); do list+="${list:+, }\"$("$kind" "$n")\""; done
@@ -101,8 +108,10 @@
 # credentials and the declaration.
 write_settings() {
   local controls=$1 entries=$2 n members=""
-  control_count=$controls
+  rm -rf "$work"/{control,entry}[0-9]* "$work/keys.yaml" "$work"/*.journal
+  rm -f "$work"/logs/{control,entry,upstream}[0-9]* "$work/logs/fabric"
   entry_count=$entries
+  control_list=$(for ((n = 1; n <= controls; n++)); do control_address "$n"; done | paste -sd,)
   "$bin/zinniactl" keys generate "$work/keys.yaml" >>"$work/logs/zinniactl"
   for ((n = 1; n <= controls; n++)); do
     members+="  - {id: $n, address: \"$(control_address "$n")\", zone: $(zone_of_number "$n")}"$'\n'
@@ -159,7 +168,11 @@
 END
 }
 
-start_control() { start "control$1" "$bin/zinnia-controld" --settings "$work/control$1.yaml" "${@:2}"; }
+found_control() {
+  "$bin/zinnia-controld" --settings "$work/control$1.yaml" --initialize >>"$work/logs/control$1" 2>&1
+}
+
+start_control() { start "control$1" "$bin/zinnia-controld" --settings "$work/control$1.yaml"; }
 
 start_entry() { start "entry$1" "$bin/zinnia-entryd" --settings "$work/entry$1.yaml"; }
 
@@ -233,3 +246,42 @@
 answered_but_not_run() { comm -23 <(digests_with outcome_answered) <(started_digests | sort -u); }
 
 count_lines() { wc -l | tr -d ' '; }
+
+# ctl ARGUMENTS...: the operators' tool; it finds the leader among all control hosts.
+ctl() { ZINNIA_CONTROL=$control_list "$bin/zinniactl" "$@" 2>>"$work/logs/zinniactl"; }
+
+# start_hosts CONTROLS ENTRIES FABRIC_OPTIONS...: an installation with both
+# services declared and in force, without upstreams.
+start_hosts() {
+  local n
+  write_settings "$1" "$2"
+  for ((n = 1; n <= $1; n++)); do
+    found_control "$n"
+    start_control "$n"
+  done
+  for ((n = 1; n <= entry_count; n++)); do start_entry "$n"; done
+  start_fabric "${@:3}"
+  wait_until 30 "declaration accepted" apply_declaration
+  wait_until 30 "declaration in force on $entry_count hosts" is_in_force 1 "$entry_count"
+}
+
+# apply_declaration [FILE]: makes the declaration the one in force.
+apply_declaration() { ctl apply "${1:-$work/services.yaml}" --author layout; }
+
+# is_in_force REVISION HOSTS: so many hosts report this revision or a later one.
+is_in_force() {
+  [ "$(ctl status | awk -v least="$1" '$3 ~ /^(serving|draining)$/ && $4 >= least' | count_lines)" -ge "$2" ]
+}
+
+# start_upstreams SERVICE NUMBERS -- OPTIONS...: starts them and waits for the announcements.
+start_upstreams() {
+  local service=$1 numbers=() n
+  shift
+  while [ "$1" != -- ]; do
+    numbers+=("$1")
+    shift
+  done
+  shift
+  for n in "${numbers[@]}"; do start_upstream "$n" "$service" "$@"; done
+  for n in "${numbers[@]}"; do wait_announced "$n"; done
+}
--- a/utilities/upstream/main.cpp
+++ b/utilities/upstream/main.cpp
@@ -144,7 +144,7 @@
   simulated_service service(chosen.work, *journal);
   ZINNIA_TRY(server, start_server(chosen.address, service));
   LOG(INFO) << "serving " << chosen.work.service << " at " << chosen.address << " as incarnation "
-            << std::hex << chosen.work.incarnation;
+            << chosen.work.incarnation;
 
   announcer::options announced;
   announced.entries = entries;
