--- a/meta/layout.sh
+++ b/meta/layout.sh
@@ -28,8 +28,9 @@
   pid_of=()
 }
 
+# layout_close [CODE]: ends the run; the work folder is kept after a failure.
 layout_close() {
-  local code=$?
+  local code=${1:-$?}
   trap - EXIT
   layout_stop_all
   if [ "$code" -ne 0 ] || [ -n "${KEEP_WORK:-}" ]; then
@@ -229,14 +230,15 @@
 
 # Lines of journals are "FLOW NUMBER METHOD DIGEST" of upstreams and "METHOD
 # DIGEST OUTCOME REASON LENGTH" of callers. A digest names one request of a caller.
-started_digests() { cat "$work"/upstream*.journal 2>/dev/null | awk '$3 == "certify" {print $4}'; }
+started_digests() { { cat "$work"/upstream*.journal 2>/dev/null || true; } | awk '$3 == "certify" {print $4}'; }
 
 # Requests that were started more than once.
 doubled_requests() { started_digests | sort | uniq -d; }
 
 # digests_with OUTCOME: non-idempotent requests of all callers that ended so.
 digests_with() {
-  cat "$work"/caller*.journal 2>/dev/null | awk -v kind="$1" '$1 == "certify" && $3 == kind {print $2}' | sort -u
+  { cat "$work"/caller*.journal 2>/dev/null || true; } |
+    awk -v kind="$1" '$1 == "certify" && $3 == kind {print $2}' | sort -u
 }
 
 # Requests of which the caller was told that they did not run, and that did.
@@ -265,8 +267,8 @@
   wait_until 30 "declaration in force on $entry_count hosts" is_in_force 1 "$entry_count"
 }
 
-# apply_declaration [FILE]: makes the declaration the one in force.
-apply_declaration() { ctl apply "${1:-$work/services.yaml}" --author layout; }
+# Makes the declaration of write_declaration the one in force.
+apply_declaration() { ctl apply "$work/services.yaml" --author layout; }
 
 # is_in_force REVISION HOSTS: so many hosts report this revision or a later one.
 is_in_force() {
