proofs: an upstream that serves an older content version

With the checks of content version and digest removed from caller_session no proof failed, because the model's upstream always refused a range of another version. One plan now serves 5% of the ranges from the previous version.

--- a/tests/proofs/request_model.cpp
+++ b/tests/proofs/request_model.cpp
@@ -435,9 +435,11 @@
 
 dispatch_result request_model::run_on_upstream(const dispatch_request& work) {
   if (work.method == catalogue) {
-    const auto version = "v" + std::to_string(version_);
+    const bool is_stale = happens(plan_.stale_ranges);
+    const auto version = "v" + std::to_string(is_stale ? version_ - 1 : version_);
     const auto content = content_of(version);
-    if (!work.range.content_version().empty() && work.range.content_version() != version)
+    if (!is_stale && !work.range.content_version().empty() &&
+        work.range.content_version() != version)
       return {dispatch_outcome::content_changed, {}, {}};
     dispatch_result seen{dispatch_outcome::done, {}, {}};
     if (work.range.offset() < content.size())
--- a/tests/proofs/request_model.h
+++ b/tests/proofs/request_model.h
@@ -33,6 +33,7 @@
   int crossings = 2;               ///< rate per packet to a caller that reaches another caller too
   int damages = 0;                 ///< rate per answer part of a changed byte
   int idempotent_share = 30;       ///< rate of calls, downloads included
+  int stale_ranges = 0;            ///< rate per range of an upstream that serves an older version
   int version_changes = 0;         ///< of the downloaded content
   int longest_deadline_ms = 4'000; ///< that the service accepts
   bool has_tiny_tables = false;
--- a/tests/proofs/request_proofs.cpp
+++ b/tests/proofs/request_proofs.cpp
@@ -49,7 +49,7 @@
   if (!story.submitted.is_download)
     return std::find(story.run_answers.begin(), story.run_answers.end(), answer) !=
            story.run_answers.end();
-  for (int version = 1; version < 20; ++version)
+  for (int version = 0; version < 20; ++version)
     if (answer == request_model::content_of("v" + std::to_string(version))) return true;
   return false;
 }
@@ -174,6 +174,10 @@
        schedules},
       {"tables full", {.short_deadlines = 20, .has_tiny_tables = true}, schedules},
       {"content changes", {.version_changes = 3}, schedules, all},
+      {"content changes + an upstream serves an older version",
+       {.stale_ranges = 5, .version_changes = 2},
+       schedules,
+       all},
       {"planned stop of a host", {.has_drain = true, .call_span_ms = 3'000}, schedules, all},
       {"host killed + late duplicates", {.kills = 1, .late_duplicates = 30}, schedules, idempotent},
       {"two hosts killed", {.kills = 2}, schedules, idempotent},
