entry: entry host role and zinnia-entryd, end to end

Cause: the modules for requests, upstreams, balance, membership and configuration had no process that composes them. Change: entry_host (facade, step(now, event) -> effects), request_dispatcher, packet_router, control_poller, borrowed connections; zinnia-entryd translates UDP sockets and gRPC. Planned stops wait until no valid token names the host; a departure message that lets other hosts say not_run was tried on paper and dropped, because its loss would leave requests unknown. Operators' drains of upstreams are by incarnation, as in the log, no longer by address. Upstreams are redirected to the registration address in a host's summary.

--- a/include/zinniarelay/core/result.h
+++ b/include/zinniarelay/core/result.h
@@ -21,5 +21,5 @@
 } // namespace zinnia
 
 /// Returns the error of an expression from the enclosing function, or declares
-/// its value: ZINNIA_TRY(auto value, expression).
+/// its value: ZINNIA_TRY(value, expression).
 #define ZINNIA_TRY(...) BOOST_OUTCOME_TRY(__VA_ARGS__)
--- a/include/zinniarelay/membership/host_load.h
+++ b/include/zinniarelay/membership/host_load.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "zinniarelay/core/endpoint.h"
 #include "zinniarelay/core/identifiers.h"
 #include "zinniarelay/core/time.h"
 
@@ -26,6 +27,7 @@
   std::uint64_t revision = 0;     ///< configuration in force
   bool draining = false;          ///< takes no new flows
   std::vector<service_load> services;
+  endpoint registration; ///< where upstreams announce themselves
 
   friend bool operator==(const host_load&, const host_load&) = default;
 };
--- a/include/zinniarelay/request/request_effects.h
+++ b/include/zinniarelay/request/request_effects.h
@@ -12,10 +12,12 @@
 
 namespace zinnia {
 
-/// Where packets for a caller go: the caller, and the service address they come from.
+/// Where packets for a caller go: the caller, the service address they come from, and
+/// the fabric node that delivers them.
 struct reply_route {
   endpoint caller;
   endpoint service;
+  endpoint fabric;
 
   friend auto operator<=>(const reply_route&, const reply_route&) = default;
 };
--- a/include/zinniarelay/request/request_executor.h
+++ b/include/zinniarelay/request/request_executor.h
@@ -118,6 +118,12 @@
   /// not_run by this incarnation only, and would be unknown after the stop.
   milliseconds outstanding_tokens(time_point now) const;
 
+  /// A drain was undone; new requests are taken again.
+  void end_drain() {
+    is_draining_ = false;
+    drain_epoch_.reset();
+  }
+
   /// Requests that have not ended; a planned stop waits for 0.
   std::size_t pending() const { return table_.pending(); }
 
--- a/include/zinniarelay/upstream/upstream_pool.h
+++ b/include/zinniarelay/upstream/upstream_pool.h
@@ -34,8 +34,8 @@
 
   announcement_answer on_announcement(time_point now, const upstream_announcement& said);
 
-  /// The drains that operators have requested, by address; replaces those given before.
-  void set_drains(std::vector<endpoint> addresses);
+  /// The upstreams that operators have asked to drain; replaces those given before.
+  void set_drains(const std::vector<incarnation_id>& upstreams);
 
   /// Takes a free slot of an upstream with a lease. The lease is checked here, so
   /// the call must start at once.
@@ -121,7 +121,7 @@
   std::uint64_t uses_ = 0;
   std::map<incarnation_id, upstream> upstreams_;
   std::map<service_id, service_state> services_;
-  std::unordered_set<endpoint> drains_;
+  std::unordered_set<incarnation_id> drains_;
   std::deque<incarnation_id> retired_;
   std::unordered_set<incarnation_id> retired_index_;
   std::optional<time_point> last_call_;
--- /dev/null
+++ b/libraries/entry/packet_router.cpp
@@ -0,0 +1,61 @@
+#include "zinniarelay/entry/packet_router.h"
+
+namespace zinnia {
+namespace {
+
+// From this attempt on, a host takes over an idempotent request whose executing
+// host does not answer, without waiting until that host is known dead.
+constexpr std::uint32_t takeover_attempt = 3;
+
+} // namespace
+
+route_decision packet_router::route(const flow_token& token, endpoint service_address,
+                                    wire::method_kind kind, std::uint32_t attempt) const {
+  const auto* service = directory_.find(token.service);
+  // The service may be newer than this host's configuration (docs/design.md R28).
+  if (service == nullptr) return drop_packet{};
+  if (const auto cause = refusal(token, service_address)) return refuse_packet{*cause};
+  if (token.executing_host == self_) return handle_here{};
+  const auto* executing = members_.find(token.executing_host);
+  if (kind == wire::idempotent) {
+    if (executing == nullptr || !executing->is_live())
+      return handle_here{takeover_mode::executing_host_dead};
+    if (attempt >= takeover_attempt) return handle_here{takeover_mode::repeated_attempt};
+  }
+  // A dead host may only be cut off from here; it alone knows the outcome of a
+  // non-idempotent request (docs/design.md R5).
+  if (executing == nullptr) return drop_packet{};
+  return forward_to{token.executing_host};
+}
+
+route_decision packet_router::route_ack(const flow_token& token) const {
+  if (token.executing_host == self_) return handle_here{};
+  if (members_.find(token.executing_host) == nullptr) return drop_packet{};
+  return forward_to{token.executing_host};
+}
+
+service_policy packet_router::policy_of(service_id service, const std::string& method) const {
+  service_policy policy;
+  policy.service = service;
+  const auto* entry = directory_.find(service);
+  if (entry == nullptr) return policy;
+  policy.retry_percent = entry->declaration().retry_percent();
+  for (const auto& it : entry->declaration().methods()) {
+    if (it.name() != method) continue;
+    policy.kind = it.kind();
+    policy.longest_deadline = milliseconds(it.deadline_ms());
+  }
+  return policy;
+}
+
+std::optional<wire::refusal_cause> packet_router::refusal(const flow_token& token,
+                                                          endpoint service_address) const {
+  const auto* service = directory_.find(token.service);
+  const auto* at_address = directory_.find(service_address);
+  if (at_address == nullptr || at_address->id() != service->id())
+    return wire::refusal_wrong_service;
+  if (service->generation() != token.service_generation) return wire::refusal_stale_generation;
+  return std::nullopt;
+}
+
+} // namespace zinnia
--- a/libraries/membership/wire_conversion.cpp
+++ b/libraries/membership/wire_conversion.cpp
@@ -34,6 +34,8 @@
   out.set_record_epoch(load.record_epoch);
   out.set_revision(load.revision);
   out.set_draining(load.draining);
+  out.set_registration_address(load.registration.address);
+  out.set_registration_port(load.registration.port);
   for (const auto& it : load.services) {
     auto& entry = *out.add_services();
     entry.set_service_id(it.service.value);
@@ -45,7 +47,8 @@
 }
 
 host_load from_wire(const wire::host_load& load) {
-  host_load out{load.sequence(), load.record_epoch(), load.revision(), load.draining(), {}};
+  host_load out{load.sequence(), load.record_epoch(), load.revision(), load.draining(), {},
+                {load.registration_address(), static_cast<std::uint16_t>(load.registration_port())}};
   out.services.reserve(static_cast<std::size_t>(load.services_size()));
   for (const auto& it : load.services())
     out.services.push_back({service_id{it.service_id()}, it.slots(), it.outstanding(), it.queued(),
--- a/libraries/upstream/upstream_pool.cpp
+++ b/libraries/upstream/upstream_pool.cpp
@@ -51,7 +51,7 @@
   it.last_mark_sent = it.mark_sent;
   it.mark = next_mark(mark_state_);
   it.mark_sent = now;
-  return {announcement_result::accepted, it.mark, drains_.count(it.address) > 0};
+  return {announcement_result::accepted, it.mark, drains_.count(it.incarnation) > 0};
 }
 
 // An echo proves that the upstream spoke after the marked reply was sent, so the lease
@@ -86,9 +86,9 @@
   retired_.pop_front();
 }
 
-void upstream_pool::set_drains(std::vector<endpoint> addresses) {
+void upstream_pool::set_drains(const std::vector<incarnation_id>& upstreams) {
   drains_.clear();
-  drains_.insert(addresses.begin(), addresses.end());
+  drains_.insert(upstreams.begin(), upstreams.end());
 }
 
 void upstream_pool::notice_time(time_point now) {
@@ -239,7 +239,7 @@
 
 bool upstream_pool::has_permission(time_point now, const upstream& it) const {
   return now < it.lease_until && !it.is_leaving && !it.is_superseded &&
-         drains_.count(it.address) == 0;
+         drains_.count(it.incarnation) == 0;
 }
 
 // Silence is not a matter of health: a silent connection is replaced within 2.5 s, and
@@ -330,7 +330,7 @@
   for (const auto& [id, it] : upstreams_) {
     const std::string_view state = it.is_superseded                        ? "superseded"
                                    : it.is_leaving                         ? "leaving"
-                                   : drains_.count(it.address) > 0         ? "draining"
+                                   : drains_.count(it.incarnation) > 0         ? "draining"
                                    : now >= it.lease_until                 ? "expired"
                                    : !is_connected(it)                     ? "silent"
                                    : health_of(now, it) != health::healthy ? "unhealthy"
--- /dev/null
+++ b/services/entryd/control_client.cpp
@@ -0,0 +1,74 @@
+#include "control_client.h"
+
+#include "control.grpc.pb.h"
+
+#include <atomic>
+#include <grpcpp/grpcpp.h>
+#include <unordered_map>
+
+namespace zinnia::entryd {
+namespace {
+
+// Shorter than the polling period, so that a silent control host costs one poll.
+constexpr std::chrono::milliseconds poll_timeout{800};
+constexpr int reconnect_ms = 200;
+// After this many failures in a row the connection may have gone silent for good.
+constexpr int failures_before_replacement = 2;
+
+} // namespace
+
+struct control_client::implementation {
+  struct connection {
+    std::shared_ptr<wire::distribution::Stub> stub;
+    std::shared_ptr<std::atomic<int>> failures = std::make_shared<std::atomic<int>>(0);
+  };
+
+  struct poll {
+    grpc::ClientContext context;
+    wire::sync_request request;
+    wire::sync_reply reply;
+    std::shared_ptr<wire::distribution::Stub> stub;
+  };
+
+  explicit implementation(event_queue& queue) : events(queue) {}
+
+  connection& connection_to(const std::string& address) {
+    auto& it = connections[address];
+    if (it.stub && *it.failures < failures_before_replacement) return it;
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnect_ms);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_ms);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_ms);
+    it.stub = wire::distribution::NewStub(
+        grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+    *it.failures = 0;
+    return it;
+  }
+
+  event_queue& events;
+  std::unordered_map<std::string, connection> connections;
+};
+
+control_client::control_client(event_queue& events)
+    : implementation_(std::make_unique<implementation>(events)) {}
+
+control_client::~control_client() = default;
+
+void control_client::execute(const poll_control& effect) {
+  auto& connection = implementation_->connection_to(effect.address);
+  auto poll = std::make_shared<implementation::poll>();
+  poll->stub = connection.stub;
+  poll->request = effect.request;
+  poll->context.set_deadline(std::chrono::system_clock::now() + poll_timeout);
+  poll->stub->async()->Sync(&poll->context, &poll->request, &poll->reply,
+                            [poll, failures = connection.failures,
+                             &events = implementation_->events](const grpc::Status& status) {
+                              *failures = status.ok() ? 0 : *failures + 1;
+                              sync_finished event;
+                              if (status.ok()) event.reply = std::move(poll->reply);
+                              events.push(std::move(event));
+                            });
+}
+
+} // namespace zinnia::entryd
--- /dev/null
+++ b/services/entryd/event_queue.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "zinniarelay/entry/entry_event.h"
+
+#include <mutex>
+#include <vector>
+
+namespace zinnia::entryd {
+
+/// Hands events from gRPC's threads to the loop, which it wakes.
+class event_queue {
+public:
+  event_queue();
+  ~event_queue();
+  event_queue(const event_queue&) = delete;
+  event_queue& operator=(const event_queue&) = delete;
+
+  void push(entry_event event);
+
+  /// Takes all events, and resets the descriptor.
+  std::vector<entry_event> take();
+
+  /// Readable while there are events.
+  int descriptor() const { return descriptor_; }
+
+private:
+  int descriptor_;
+  std::mutex mutex_;
+  std::vector<entry_event> events_;
+};
+
+} // namespace zinnia::entryd
--- a/tests/libraries/request/executor_fixture.h
+++ b/tests/libraries/request/executor_fixture.h
@@ -101,7 +101,7 @@
   }
 
   time_point now{std::chrono::seconds(1'000)};
-  reply_route route{{0x0A000001, 5000}, {0x0A000002, 80}};
+  reply_route route{{0x0A000001, 5000}, {0x0A000002, 80}, {}};
   request_executor executor;
 };
 
--- a/tests/libraries/upstream/upstream_pool_test.cpp
+++ b/tests/libraries/upstream/upstream_pool_test.cpp
@@ -65,7 +65,7 @@
 
 BOOST_AUTO_TEST_CASE(drain_is_told_and_stops_new_work) {
   renew(0, announcement(1));
-  pool.set_drains({announcement(1).address});
+  pool.set_drains({announcement(1).incarnation});
   BOOST_TEST(pool.on_announcement(at_ms(10), announcement(1)).drain_requested);
   BOOST_TEST(!pool.acquire(at_ms(11), service).has_value());
 }
