--- a/libraries/balance/dispatch_queue.cpp
+++ b/libraries/balance/dispatch_queue.cpp
@@ -6,10 +6,6 @@
 namespace zinnia {
 namespace {
 
-// A request with less than this many mean service times left is refused instead of
-// started, because most of such calls would be cancelled after using a slot.
-constexpr double least_remaining = 0.5;
-
 microseconds scaled(microseconds value, double factor) {
   return microseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
 }
@@ -41,7 +37,7 @@
   const auto ended = at->second;
   running_.erase(at);
   if (ended.loan)
-    exchange_.give_back(*ended.loan, result, now - ended.started, out);
+    exchange_.give_back(now, *ended.loan, result, now - ended.started, out);
   else
     pool_.release(now, ended.slot, result, now - ended.started);
   dispatch(now, ended.slot.service, out);
@@ -77,7 +73,7 @@
   queue.last_upstream = now;
   drop_hopeless(now, loan->slot.service, queue, out);
   if (queue.waiting.empty())
-    exchange_.give_back(*loan, call_result::unused, microseconds{0}, out);
+    exchange_.give_back(now, *loan, call_result::unused, microseconds{0}, out);
   else
     start(now, loan->slot, loan, queue, out);
   return out;
@@ -138,7 +134,10 @@
                                    dispatch_effects& out) {
   if (pool_.usable_slots(now, service) > 0) queue.last_upstream = now;
   const bool is_abandoned = now - queue.last_upstream >= settings_.no_upstream_grace;
-  const auto least = scaled(pool_.service_time(service), least_remaining);
+  // A request that waits alone is worth a try: no other request needs the slot.
+  const bool is_contended = queue.waiting.size() > 1;
+  const auto least = is_contended ? scaled(pool_.service_time(service), settings_.least_remaining)
+                                  : microseconds{0};
   std::erase_if(queue.waiting, [&](const queued_work& it) {
     const bool is_late = now + least > it.request.deadline || now >= it.request.deadline;
     if (!is_late && !is_abandoned) return false;
@@ -153,21 +152,25 @@
   for (auto& [service, queue] : queues_)
     if (!queue.waiting.empty()) dispatch(now, service, out);
   for (const auto service : pool_.services())
-    if (queued(service) == 0) exchange_.serve(now, service, out);
+    if (queued(service) == 0) exchange_.serve(now, service, std::nullopt, out);
 }
 
 void dispatch_queue::dispatch(time_point now, service_id service, dispatch_effects& out) {
   auto& queue = queue_of(now, service);
   if (!queue.waiting.empty()) drop_hopeless(now, service, queue, out);
   while (!queue.waiting.empty()) {
+    exchange_.serve(now, service, queue.waiting.front().queued_at, out);
     const auto slot = pool_.acquire(now, service);
     if (!slot) break;
     start(now, *slot, std::nullopt, queue, out);
   }
-  if (queue.waiting.empty())
-    exchange_.serve(now, service, out);
-  else
-    exchange_.ask(now, service, queue.waiting.size(), out);
+  if (queue.waiting.empty()) return exchange_.serve(now, service, std::nullopt, out);
+  std::vector<time_point> queued;
+  for (const auto& it : queue.waiting) {
+    if (queued.size() >= settings_.exchange.requests_in_flight) break;
+    queued.push_back(it.queued_at);
+  }
+  exchange_.ask(now, service, queued, out);
 }
 
 void dispatch_queue::start(time_point now, const upstream_slot& slot,
--- a/libraries/balance/slot_exchange.cpp
+++ b/libraries/balance/slot_exchange.cpp
@@ -26,16 +26,20 @@
                     [&](const auto& it) { return it.second.service == service; }));
 }
 
-void slot_exchange::ask(time_point now, service_id service, std::size_t wanted,
+void slot_exchange::ask(time_point now, service_id service, std::span<const time_point> queued,
                         dispatch_effects& out) {
   if (!choose_) return;
-  const auto limit = std::min<std::size_t>(wanted, settings_.requests_in_flight);
-  for (auto n = in_flight(service); n < limit; ++n) {
-    const auto lender = choose_(now, service);
+  std::vector<host_id> asked;
+  for (const auto& [sequence, it] : requests_)
+    if (it.service == service) asked.push_back(it.lender);
+  const auto limit = std::min<std::size_t>(queued.size(), settings_.requests_in_flight);
+  while (asked.size() < limit) {
+    const auto lender = choose_(now, service, asked);
     if (!lender) return;
-    const request it{service, *lender, now, now, 1};
-    send_request(next_sequence_, it, out);
+    const request it{service, *lender, queued[asked.size()], now, now, 1};
+    send_request(now, next_sequence_, it, out);
     requests_.emplace(next_sequence_++, it);
+    asked.push_back(*lender);
   }
 }
 
@@ -51,7 +55,7 @@
   case wire::peer_packet::kSlotGiven:
     return on_grant(now, packet, out);
   case wire::peer_packet::kSlotReturned:
-    on_release(now, packet);
+    on_release(now, packet, out);
     return std::nullopt;
   default:
     return std::nullopt;
@@ -70,6 +74,7 @@
     return;
   }
   const auto expires = now + settings_.answer_timeout;
+  const auto queued = now - milliseconds(ask.waited_ms());
   for (auto& it : waiting_) {
     if (it.borrower != sender(packet) || it.sequence != ask.sequence()) continue;
     it.expires = expires;
@@ -77,7 +82,7 @@
   }
   if (waiting_.size() >= settings_.waiting_requests) return;
   waiting_.push_back({sender(packet), sender_incarnation(packet), ask.sequence(),
-                      service_id{ask.service_id()}, expires});
+                      service_id{ask.service_id()}, queued, expires});
 }
 
 void slot_exchange::renew(time_point now, const wire::peer_packet& packet) {
@@ -85,23 +90,25 @@
   if (lent != lent_.end() && lent->second.borrower == sender(packet)) lent->second.renewed = now;
 }
 
-void slot_exchange::serve(time_point now, service_id service, dispatch_effects& out) {
-  for (auto at = waiting_.begin(); at != waiting_.end();) {
-    if (now >= at->expires) {
-      at = waiting_.erase(at);
-      continue;
-    }
-    if (at->service != service) {
-      ++at;
-      continue;
-    }
+// The oldest request goes first, wherever it waits, as in one queue for all hosts.
+void slot_exchange::serve(time_point now, service_id service, std::optional<time_point> own_oldest,
+                          dispatch_effects& out) {
+  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
+  while (true) {
+    auto oldest = waiting_.end();
+    for (auto at = waiting_.begin(); at != waiting_.end(); ++at)
+      if (at->service == service && (oldest == waiting_.end() || at->queued < oldest->queued))
+        oldest = at;
+    if (oldest == waiting_.end()) return;
+    if (own_oldest && oldest->queued + settings_.age_margin >= *own_oldest) return;
     const auto slot = pool_.acquire(now, service);
     if (!slot) return;
     const auto valid = std::chrono::duration_cast<milliseconds>(slot->valid_until - now);
-    const lent_slot it{at->borrower, at->borrower_incarnation, at->sequence, *slot, valid, now};
+    const lent_slot it{
+        oldest->borrower, oldest->borrower_incarnation, oldest->sequence, *slot, valid, now};
     send_grant(next_grant_, it, out);
     lent_.emplace(next_grant_++, it);
-    at = waiting_.erase(at);
+    waiting_.erase(oldest);
   }
 }
 
@@ -109,12 +116,16 @@
 slot_exchange::on_grant(time_point now, const wire::peer_packet& packet, dispatch_effects& out) {
   const auto& given = packet.slot_given();
   const auto lender = sender(packet);
+  if (!given.granted()) {
+    releases_.erase({lender, given.grant()});
+    return std::nullopt;
+  }
   if (borrowed_.count({lender, given.grant()}) > 0) return std::nullopt;
   const auto asked = requests_.find(given.sequence());
   const auto address = endpoint::parse(given.upstream_address());
   if (asked == requests_.end() || asked->second.lender != lender || !address) {
     // This host has given up on the request, so the lender must not wait for the slot.
-    send_release(lender, given.grant(), call_result::unused, microseconds{0}, out);
+    send_release(now, lender, given.grant(), call_result::unused, microseconds{0}, out);
     return std::nullopt;
   }
   // The lender granted after the request was sent, so counting its lease from the sending
@@ -127,15 +138,19 @@
                       now + settings_.renew_period};
   requests_.erase(asked);
   if (now >= valid_until) {
-    send_release(lender, given.grant(), call_result::unused, microseconds{0}, out);
+    send_release(now, lender, given.grant(), call_result::unused, microseconds{0}, out);
     return std::nullopt;
   }
   borrowed_.emplace(std::pair{lender, given.grant()}, loan);
   return loan;
 }
 
-void slot_exchange::on_release(time_point now, const wire::peer_packet& packet) {
+void slot_exchange::on_release(time_point now, const wire::peer_packet& packet,
+                               dispatch_effects& out) {
   const auto& returned = packet.slot_returned();
+  wire::peer_packet confirmation;
+  confirmation.mutable_slot_given()->set_grant(returned.grant());
+  out.push_back(send_slot_message{sender(packet), std::move(confirmation)});
   const auto lent = lent_.find(returned.grant());
   if (lent == lent_.end() || lent->second.borrower != sender(packet)) return;
   const auto result = returned.failed()           ? call_result::failed
@@ -145,13 +160,25 @@
   lent_.erase(lent);
 }
 
-void slot_exchange::give_back(const borrowed& it, call_result result, microseconds held,
-                              dispatch_effects& out) {
+void slot_exchange::give_back(time_point now, const borrowed& it, call_result result,
+                              microseconds held, dispatch_effects& out) {
   borrowed_.erase({it.lender, it.grant});
-  send_release(it.lender, it.grant, result, held, out);
+  send_release(now, it.lender, it.grant, result, held, out);
 }
 
 void slot_exchange::tick(time_point now, dispatch_effects& out) {
+  repeat_requests(now, out);
+  repeat_releases(now, out);
+  renew_grants(now, out);
+  std::erase_if(lent_, [&](const auto& it) {
+    if (now - it.second.renewed < settings_.grant_lease) return false;
+    pool_.release(now, it.second.slot, call_result::abandoned, microseconds{0});
+    return true;
+  });
+  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
+}
+
+void slot_exchange::repeat_requests(time_point now, dispatch_effects& out) {
   for (auto at = requests_.begin(); at != requests_.end();) {
     auto& it = at->second;
     if (now - it.last_sent < settings_.answer_timeout) {
@@ -161,10 +188,29 @@
     } else {
       ++it.sent;
       it.last_sent = now;
-      send_request(at->first, it, out);
+      send_request(now, at->first, it, out);
+      ++at;
+    }
+  }
+}
+
+void slot_exchange::repeat_releases(time_point now, dispatch_effects& out) {
+  for (auto at = releases_.begin(); at != releases_.end();) {
+    auto& it = at->second;
+    if (now - it.last_sent < settings_.answer_timeout) {
+      ++at;
+    } else if (it.sent >= settings_.release_attempts) {
+      at = releases_.erase(at);
+    } else {
+      ++it.sent;
+      it.last_sent = now;
+      out.push_back(send_slot_message{at->first.first, it.packet});
       ++at;
     }
   }
+}
+
+void slot_exchange::renew_grants(time_point now, dispatch_effects& out) {
   for (auto& [key, it] : borrowed_) {
     if (now < it.next_renewal) continue;
     it.next_renewal = now + settings_.renew_period;
@@ -173,12 +219,6 @@
     packet.mutable_slot_ask()->set_grant(it.grant);
     out.push_back(send_slot_message{it.lender, std::move(packet)});
   }
-  std::erase_if(lent_, [&](const auto& it) {
-    if (now - it.second.renewed < settings_.grant_lease) return false;
-    pool_.release(now, it.second.slot, call_result::abandoned, microseconds{0});
-    return true;
-  });
-  std::erase_if(waiting_, [&](const auto& it) { return now >= it.expires; });
 }
 
 void slot_exchange::on_host_gone(time_point now, host_id host) {
@@ -189,13 +229,16 @@
   });
   std::erase_if(waiting_, [&](const auto& it) { return it.borrower == host; });
   std::erase_if(requests_, [&](const auto& it) { return it.second.lender == host; });
+  std::erase_if(releases_, [&](const auto& it) { return it.first.first == host; });
 }
 
-void slot_exchange::send_request(std::uint64_t sequence, const request& it,
+void slot_exchange::send_request(time_point now, std::uint64_t sequence, const request& it,
                                  dispatch_effects& out) const {
   wire::peer_packet packet;
   packet.mutable_slot_ask()->set_service_id(it.service.value);
   packet.mutable_slot_ask()->set_sequence(sequence);
+  packet.mutable_slot_ask()->set_waited_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(now - it.queued).count()));
   out.push_back(send_slot_message{it.lender, std::move(packet)});
 }
 
@@ -213,8 +256,8 @@
   out.push_back(send_slot_message{it.borrower, std::move(packet)});
 }
 
-void slot_exchange::send_release(host_id lender, std::uint64_t grant, call_result result,
-                                 microseconds held, dispatch_effects& out) const {
+void slot_exchange::send_release(time_point now, host_id lender, std::uint64_t grant,
+                                 call_result result, microseconds held, dispatch_effects& out) {
   wire::peer_packet packet;
   auto& body = *packet.mutable_slot_returned();
   body.set_grant(grant);
@@ -223,6 +266,7 @@
   if (result == call_result::completed)
     body.set_service_ms(static_cast<std::uint32_t>(
         std::max<std::int64_t>(1, std::chrono::round<milliseconds>(held).count())));
+  releases_[{lender, grant}] = {packet, now, 1};
   out.push_back(send_slot_message{lender, std::move(packet)});
 }
 
