zinniactl: promote and remove several control hosts in one step

An even number of voters is refused, so that growing from three to five takes two learners in one step. Tried against zinnia-controld with three founding voters: add 4 and 5, promote 4 refused, promote 4 5 accepted, remove 4 5 accepted, replace with an id that is not a learner refused.

--- a/utilities/zinniactl/member_commands.cpp
+++ b/utilities/zinniactl/member_commands.cpp
@@ -3,6 +3,7 @@
 
 #include <iostream>
 #include <memory>
+#include <vector>
 
 namespace zinnia {
 namespace {
@@ -10,6 +11,7 @@
 struct member_options {
   std::uint64_t id = 0;
   std::uint64_t replaced = 0;
+  std::vector<std::uint64_t> also;
   std::string address;
   std::uint32_t zone = 0;
   operation_options operation;
@@ -41,6 +43,8 @@
     request.mutable_member()->set_zone(options.zone);
     request.mutable_member()->set_learner(action == wire::members_request::add_learner);
     request.set_replaced(options.replaced);
+    for (const auto it : options.also)
+      request.add_also(it);
   }
   const auto reply = session.client().change_members(request);
   if (!reply && action == wire::members_request::list) return report_unanswered(reply.error());
@@ -74,6 +78,13 @@
     return *this;
   }
 
+  /// More members of the same step, so that the number of voters stays odd.
+  member_command& further_ids(const char* description) {
+    command_->add_option("ALSO", options_->also, description)
+        ->check(CLI::Range(std::uint64_t{1}, UINT64_MAX));
+    return *this;
+  }
+
   member_command& address_and_zone() {
     const auto check = [](const std::string& text) {
       const auto parsed = endpoint::parse(text);
@@ -106,14 +117,16 @@
       .address_and_zone();
   member_command(*members, context, "promote", "Make a learner that has caught up a voter",
                  wire::members_request::promote)
-      .id("ID", "Number of the learner");
+      .id("ID", "Number of the learner")
+      .further_ids("Further learners to promote in the same step");
   member_command(*members, context, "replace", "Swap a voter for a learner that has caught up",
                  wire::members_request::replace)
       .id("OLD", "Number of the voter that leaves", &member_options::replaced)
       .id("NEW", "Number of the learner that takes its place");
   member_command(*members, context, "remove", "Remove a learner or a voter",
                  wire::members_request::remove)
-      .id("ID", "Number of the control host");
+      .id("ID", "Number of the control host")
+      .further_ids("Further voters to remove in the same step");
 }
 
 } // namespace zinnia
