--- a/libraries/caller/caller_session.cpp
+++ b/libraries/caller/caller_session.cpp
@@ -122,7 +122,7 @@
 
 void caller_session::open_flow(time_point now, caller_effects& out) {
   ++counters_.opens;
-  opening_ = opening_state{engine_(), now, now, settings_.first_resend};
+  opening_ = opening_state{engine_(), now, now, settings_.first_resend, 0};
   send_open(now, out);
 }
 
@@ -149,7 +149,12 @@
 }
 
 void caller_session::renew_token(const issued_request& request, const wire::answer_part& part) {
-  if (part.renewed_token().empty() || !flow_ || flow_->id.value != part.flow()) return;
+  if (part.offset() != 0 || !flow_ || flow_->id.value != part.flow()) return;
+  if (part.renewed_token().empty()) {
+    // The executing host is leaving, or another host answered for it.
+    flow_.reset();
+    return;
+  }
   const auto until = request.first_sent + milliseconds(part.valid_ms());
   if (until <= flow_->valid_until) return;
   flow_->token = part.renewed_token();
@@ -197,7 +202,8 @@
                          now,
                          now,
                          settings_.first_resend,
-                         1};
+                         1,
+                         std::nullopt};
   const auto it = issued_.emplace(key, std::move(request)).first;
   send_request(now, key, it->second, out);
 }
@@ -272,8 +278,8 @@
   renew_token(request, part);
   switch (request.assembler.add(part)) {
   case part_effect::progress:
-    // The host is alive; only the missing parts need to be sent again.
-    request.attempt = 1;
+    // Only the missing parts need to be sent again.
+    note_sign_of_life(request);
     request.backoff = settings_.first_resend;
     request.resend_at = now + jittered(request.backoff);
     return;
@@ -314,11 +320,14 @@
   switch (outcome.kind()) {
   case wire::outcome_not_run:
   case wire::outcome_unknown:
+    if (outcome.reason() == wire::reason_executing_host_lost &&
+        waits_for_lost_host(now, it->second)) {
+      abandon_flow(key.flow);
+      return;
+    }
     return end_issue(now, it, outcome.kind(), outcome.reason(), out);
   default:
-    // The request is still in progress on a live host, so no other host needs
-    // to take it over.
-    if (outcome.reason() == wire::reason_pending) it->second.attempt = 1;
+    if (outcome.reason() == wire::reason_pending) note_sign_of_life(it->second);
     return;
   }
 }
@@ -329,6 +338,8 @@
     const bool is_final = refusal.cause() == wire::refusal_unknown_service ||
                           refusal.cause() == wire::refusal_wrong_service;
     if (!opening_ || opening_->nonce != refusal.nonce() || !is_final) return;
+    // A host may not have heard of a new service yet; another may have.
+    if (++opening_->refusals < settings_.believed_refusals) return;
     opening_.reset();
     const auto refused = std::move(waiting_);
     waiting_.clear();
@@ -342,11 +353,27 @@
   abandon_flow(flow_id{refusal.flow()});
 }
 
+void caller_session::note_sign_of_life(issued_request& request) {
+  // A request in progress on a live host needs no takeover (docs/design.md R11).
+  request.attempt = 1;
+  request.reported_lost.reset();
+}
+
+// Another host may take a frozen or partitioned host for dead. Its records come
+// back with it, so a request that only it can have run waits a little longer.
+bool caller_session::waits_for_lost_host(time_point now, issued_request& request) const {
+  if (request.work.kind == wire::idempotent) return false;
+  if (!request.reported_lost) request.reported_lost = now;
+  return now < *request.reported_lost + settings_.lost_host_patience;
+}
+
 bool caller_session::may_reissue(const operation& work, wire::outcome_kind kind,
                                  wire::outcome_reason reason) const {
   if (kind != wire::outcome_not_run && work.kind != wire::idempotent) return false;
-  if (work.is_range) return true;
-  return is_flow_lost(reason) && work.issues <= settings_.reissues;
+  // A call is issued again only when another host can do better; reasons such
+  // as overload are for the application to decide. The backoff and the deadline
+  // bound the number of issues.
+  return work.is_range || is_flow_lost(reason);
 }
 
 void caller_session::end_issue(time_point now, issued_map::iterator it, wire::outcome_kind kind,
