replication: quorum age counts only for members that are current; daemon logs

Change: a member reports contact only from messages whose commit index it has reached; status names a host that is no member. The daemon writes structured lines and repeats a complaint every 10 s at most.

--- a/include/zinniarelay/replication/raft_node.h
+++ b/include/zinniarelay/replication/raft_node.h
@@ -107,7 +107,8 @@
   bool is_membership_settled() const;
   /// True when the cluster's members include this id with another data folder.
   bool is_foreign() const;
-  /// Time since a quorum was known to be in contact; milliseconds::max() for never.
+  /// Time since a quorum was in contact and this member had all that was committed;
+  /// milliseconds::max() for never.
   milliseconds quorum_age(time_point now) const;
   /// The highest entry that a member has synced; known by the leader only.
   std::uint64_t match_index(std::uint64_t member) const;
@@ -151,7 +152,7 @@
   void become_leader();
   void become_follower(std::uint64_t term, std::uint64_t leader);
   void step_down_without_quorum();
-  void hear_from_leader(const wire::raft_message& message, std::uint32_t quorum_age_ms);
+  void hear_from_leader(const wire::raft_message& message);
   void note_answer(std::uint64_t member, std::uint64_t round);
   time_point draw_time(microseconds shortest, microseconds longest);
   void schedule_election();
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -403,9 +403,11 @@
   out.set_control_id(settings_.self.id());
   out.set_zone(settings_.self.zone());
   const bool is_voter = node_.membership().is_voter(node_.id());
-  out.set_role(node_.role() != raft_role::follower ? name_of(node_.role())
-               : is_voter                          ? "voter"
-                                                   : "learner");
+  const bool is_member = node_.membership().find(node_.id()) != nullptr && !node_.is_foreign();
+  out.set_role(!is_member                            ? "not a member"
+               : node_.role() != raft_role::follower ? name_of(node_.role())
+               : is_voter                            ? "voter"
+                                                     : "learner");
   out.set_term(node_.term());
   out.set_commit_index(node_.commit_index());
   out.set_revision(state_.revision());
--- a/libraries/replication/raft_node.cpp
+++ b/libraries/replication/raft_node.cpp
@@ -424,7 +424,6 @@
   }
   body.set_checksum(to.snapshot_checksum);
   body.set_round(round_);
-  body.set_quorum_age_ms(age_for_message());
 }
 
 void raft_node::take(const wire::raft_message& message, const wire::append_reply& body) {
@@ -623,11 +622,10 @@
 
 // Replication, the follower's side.
 
-void raft_node::hear_from_leader(const wire::raft_message& message, std::uint32_t quorum_age_ms) {
+void raft_node::hear_from_leader(const wire::raft_message& message) {
   role_ = raft_role::follower;
   leader_ = message.from();
   leader_contact_ = now_;
-  quorum_contact_ = now_ - milliseconds(quorum_age_ms);
   schedule_election();
 }
 
@@ -636,7 +634,7 @@
   auto& answer = *reply.mutable_appended();
   answer.set_round(body.round());
   if (message.term() < term()) return;
-  hear_from_leader(message, body.quorum_age_ms());
+  hear_from_leader(message);
 
   // Entries up to the commit index are settled, whatever part of them is still held.
   auto previous = body.previous_index();
@@ -669,6 +667,10 @@
   answer.set_success(true);
   answer.set_match_index(previous);
   commit_to(std::min(body.commit_index(), previous));
+  // Contact alone is not enough: entry hosts that poll a member which lags, or
+  // whose copies the leader ignores, have to turn to another one (R28).
+  if (commit_index_ >= body.commit_index())
+    quorum_contact_ = now_ - milliseconds(body.quorum_age_ms());
 }
 
 void raft_node::take(const wire::raft_message& message, const wire::snapshot_request& body) {
@@ -676,7 +678,7 @@
   answer.set_round(body.round());
   answer.set_checksum(body.checksum());
   if (message.term() < term()) return;
-  hear_from_leader(message, body.quorum_age_ms());
+  hear_from_leader(message);
   if (body.last_index() <= commit_index_) {
     answer.set_done(true);
     return;
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -2,11 +2,11 @@
 
 #include "control.grpc.pb.h"
 #include "operator.grpc.pb.h"
+#include "zinniarelay/observe/log_line.h"
 
 #include <condition_variable>
 #include <deque>
 #include <functional>
-#include <glog/logging.h>
 #include <grpcpp/grpcpp.h>
 #include <mutex>
 #include <thread>
@@ -55,11 +55,16 @@
     const std::lock_guard lock(mutex_);
     // Later messages repeat what earlier ones said, so that the oldest can go.
     if (queue_.size() == max_queued_messages) queue_.pop_front();
-    queue_.push_back(std::move(message));
+    queue_.push_back({std::move(message), monotonic_now()});
     changed_.notify_all();
   }
 
 private:
+  struct queued_message {
+    wire::raft_message message;
+    time_point queued;
+  };
+
   void connect() {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
@@ -91,8 +96,11 @@
         changed_.wait(lock);
         continue;
       }
-      auto message = std::move(queue_.front());
+      const auto [message, queued] = std::move(queue_.front());
       queue_.pop_front();
+      // The contact to a quorum that a message reports would look more recent
+      // than it is after a wait for a silent member.
+      if (monotonic_now() - queued > exchange_deadline) continue;
       lock.unlock();
       failures = exchange(message) ? 0 : failures + 1;
       if (failures == silent_after_failures) {
@@ -108,7 +116,7 @@
   std::unique_ptr<wire::replication::Stub> stub_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::deque<wire::raft_message> queue_;
+  std::deque<queued_message> queue_;
   bool is_stopping_ = false;
   std::thread worker_;
 };
@@ -233,7 +241,7 @@
 private:
   void carry_out(std::uint64_t asking = 0, wire::raft_message* answer = nullptr) {
     for (const auto& it : host_.take_complaints())
-      LOG(WARNING) << it;
+      log_complaint(it);
     for (auto& message : host_.take_messages()) {
       if (answer != nullptr && message.to() == asking) {
         *answer = std::move(message);
@@ -245,6 +253,18 @@
     changed_.notify_all();
   }
 
+  // A wrongly set up member causes the same complaint with each of its messages.
+  void log_complaint(const std::string& cause) {
+    constexpr milliseconds repeat_after{10'000};
+    constexpr std::size_t max_remembered = 256;
+    if (complained_.size() > max_remembered) complained_.clear();
+    const auto now = monotonic_now();
+    const auto [it, is_new] = complained_.try_emplace(cause, now);
+    if (!is_new && now - it->second < repeat_after) return;
+    it->second = now;
+    log_warning("replication_complaint").with("cause", cause);
+  }
+
   void send(wire::raft_message message) {
     const auto address = host_.address_of(message.to());
     if (address.empty() || is_stopping_) return;
@@ -283,6 +303,7 @@
   control_host host_;
   std::map<std::uint64_t, std::unique_ptr<peer>> peers_;
   std::vector<std::unique_ptr<peer>> retired_;
+  std::map<std::string, time_point> complained_;
   int waiting_ = 0;
   bool is_stopping_ = false;
   std::unique_ptr<grpc::Server> server_;
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -1,10 +1,10 @@
 #include "control_server.h"
 #include "zinniarelay/config/control_settings.h"
+#include "zinniarelay/observe/log_line.h"
 #include "zinniarelay/replication/file_storage.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <glog/logging.h>
 #include <iostream>
 #include <random>
 
@@ -56,16 +56,15 @@
   auto host = control_host::open(files, settings, seeded_engine(), monotonic_now());
   if (!host.has_value()) return report(host.error());
   if (host.value().cut_bytes() > 0)
-    LOG(WARNING) << "cut " << host.value().cut_bytes()
-                 << " bytes of an incomplete append from the log";
+    log_warning("incomplete_append_cut").with("bytes", host.value().cut_bytes());
   const auto& address = settings.self.address();
   auto server = controld::control_server::start(std::move(host.value()), address);
   if (!server.has_value()) return report(server.error());
-  LOG(INFO) << "control host " << settings.self.id() << " serves on " << address;
+  log_info("control_host_started").with("address", address);
   const timespec interval{0, std::chrono::nanoseconds(tick_interval).count()};
   while (sigtimedwait(&signals, nullptr, &interval) < 0)
     if (const auto fault = server.value()->tick()) return report(*fault);
-  LOG(INFO) << "stopping";
+  log_info("control_host_stopping");
   server.value()->stop();
   return 0;
 }
@@ -83,8 +82,6 @@
                "found a new cluster in an empty data folder and exit; run it once on each "
                "founding member, and never to replace a lost one");
   CLI11_PARSE(app, argc, argv);
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
 
   const auto settings = control_settings::load(settings_file);
   if (!settings.has_value()) {
@@ -96,6 +93,8 @@
     std::cout << settings_file << ": no findings" << std::endl;
     return 0;
   }
+  start_log("zinnia-controld",
+            {settings.value().control().value, settings.value().availability_zone()});
   const auto host_settings = host_settings_of(settings.value());
   auto files = file_storage::open(settings.value().data_folder().string());
   if (!files.has_value()) return report(files.error());
--- a/tests/libraries/replication/raft_node_test.cpp
+++ b/tests/libraries/replication/raft_node_test.cpp
@@ -147,6 +147,26 @@
   BOOST_TEST((it.node->role() == raft_role::follower));
 }
 
+// Guards against a zone staying behind because its entry hosts poll a member that
+// hears the leader but lacks entries.
+BOOST_AUTO_TEST_CASE(lagging_member_reports_no_contact) {
+  single it(three);
+  const auto append = [&](std::uint64_t previous, std::uint64_t commit) {
+    it.receive(2, 1, [&](auto& message) {
+      message.mutable_append()->set_previous_index(previous);
+      message.mutable_append()->set_previous_term(previous == 0 ? 0 : 1);
+      message.mutable_append()->set_commit_index(commit);
+      message.mutable_append()->set_quorum_age_ms(40);
+    });
+  };
+  append(5, 5);
+  BOOST_TEST((it.node->quorum_age(it.now) == milliseconds::max()));
+  append(0, 5);
+  BOOST_TEST((it.node->quorum_age(it.now) == milliseconds::max()));
+  append(0, 0);
+  BOOST_TEST(it.node->quorum_age(it.now).count() == 40);
+}
+
 // Guards against a host with an emptied folder voting under its old identity.
 BOOST_AUTO_TEST_CASE(answers_from_another_folder_do_not_count) {
   single it(three);
