--- a/include/zinniarelay/request/request_executor.h
+++ b/include/zinniarelay/request/request_executor.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <queue>
 #include <string>
 #include <unordered_map>
@@ -108,9 +109,15 @@
   /// least every 100 ms.
   request_effects on_tick(time_point now);
 
-  /// From now on new requests are refused as not_run (docs/design.md R12).
+  /// From now on new requests are refused as not_run, and answers renew no
+  /// token (docs/design.md R12).
   void begin_drain() { is_draining_ = true; }
 
+  /// How long tokens that name this incarnation remain valid after the drain
+  /// began; a planned stop waits for 0. A request under such a token can be told
+  /// not_run by this incarnation only, and would be unknown after the stop.
+  milliseconds outstanding_tokens(time_point now) const;
+
   /// Requests that have not ended; a planned stop waits for 0.
   std::size_t pending() const { return table_.pending(); }
 
@@ -127,7 +134,7 @@
   struct timer {
     time_point due;
     request_key key;
-    friend auto operator<=>(const timer&, const timer&) = default;
+    friend bool operator>(const timer& a, const timer& b) { return a.due > b.due; }
   };
 
   bool is_own(const flow_token& token) const;
@@ -149,7 +156,8 @@
   request_effects store_answer(time_point now, const request_key& key, live_record& record,
                                const dispatch_result& seen);
   void append_parts(time_point now, const request_key& key, const live_record& record,
-                    std::size_t offset, request_effects& out) const;
+                    std::size_t offset, std::uint32_t most, request_effects& out) const;
+  void remind_callers(time_point now, request_effects& out);
   request_effects on_deadline(time_point now, const request_key& key, live_record& record);
   dispatch_request dispatch_of(const request_key& key, const live_record& record) const;
 
@@ -161,8 +169,9 @@
   std::unordered_map<service_id, retry_budget> budgets_;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
   executor_counters counters_;
-  std::uint32_t expired_epoch_ = 0;
   bool is_draining_ = false;
+  std::optional<std::uint32_t> drain_epoch_; // when the drain was first seen by a tick
+  time_point next_reminder_;
 };
 
 } // namespace zinnia
