--- a/include/zinniarelay/request/request_effects.h
+++ b/include/zinniarelay/request/request_effects.h
@@ -17,7 +17,7 @@
 struct reply_route {
   endpoint caller;
   endpoint service;
-  endpoint fabric;
+  endpoint fabric{};
 
   friend auto operator<=>(const reply_route&, const reply_route&) = default;
 };
