replication: test that an unnamed folder neither votes nor stands

Cause: the proof with a lost disk holds as long as either the voter or the others refuse, so that it does not guard each refusal alone.

--- a/tests/libraries/replication/raft_node_test.cpp
+++ b/tests/libraries/replication/raft_node_test.cpp
@@ -147,6 +147,22 @@
   BOOST_TEST((it.node->role() == raft_role::follower));
 }
 
+// Guards against an emptied folder, or a new one under the id of a lost voter,
+// giving a vote a second time in a term.
+BOOST_AUTO_TEST_CASE(folder_that_the_members_do_not_name_neither_votes_nor_stands) {
+  auto lost = member(1);
+  lost.set_identity(99);
+  auto unrecorded = member(1);
+  unrecorded.set_identity(0);
+  for (const auto& members : {std::vector<wire::control_member>{},
+                              {lost, member(2), member(3)},
+                              {unrecorded, member(2), member(3)}}) {
+    single it({members, {}});
+    BOOST_TEST(!it.ask(2, 5, 9, 4).messages.at(0).voted().granted());
+    BOOST_TEST(it.pass(milliseconds(5'000)).messages.empty());
+  }
+}
+
 // Guards against a zone staying behind because its entry hosts poll a member that
 // hears the leader but lacks entries.
 BOOST_AUTO_TEST_CASE(lagging_member_reports_no_contact) {
