--- a/benchmarks/model/bound_model.cpp
+++ b/benchmarks/model/bound_model.cpp
@@ -88,6 +88,7 @@
     return from[hash_of(it.flow) % from.size()];
   case baseline::rendezvous: {
     std::vector<host_id> ids;
+    ids.reserve(from.size());
     for (const auto index : from)
       ids.push_back(host_id{index});
     return zinnia::rendezvous(hash_of(it.flow), ids)->value;
--- a/benchmarks/model/relay_model.cpp
+++ b/benchmarks/model/relay_model.cpp
@@ -126,7 +126,7 @@
 }
 
 std::vector<service_load> relay_model::loads(const node& it) const {
-  const auto all = it.queue.loads(events_.now());
+  auto all = it.queue.loads(events_.now());
   if (!is_early()) return all;
   std::map<service_id, service_load> sums;
   for (const auto& target : targets_) {
@@ -141,6 +141,7 @@
     }
   }
   std::vector<service_load> list;
+  list.reserve(sums.size());
   for (const auto& [service, sum] : sums)
     list.push_back(sum);
   return list;
@@ -233,13 +234,16 @@
       if (known == it.requests.end() || refused->reason == reject_reason::duplicate) continue;
       const auto request = known->second;
       it.requests.erase(known);
-      // Refused as not_run: the caller may open again elsewhere while its deadline allows.
-      if (refused->reason == reject_reason::no_upstream) {
-        routes_.erase(request->flow);
-        retry_later(request);
-      } else {
+      // Refused as not_run: the caller opens again elsewhere while its deadline allows.
+      const bool is_worth_retry = refused->reason == reject_reason::no_upstream ||
+                                  refused->reason == reject_reason::queue_full;
+      if (!is_worth_retry) {
         gave_up(request);
+        continue;
       }
+      note_retry();
+      routes_.erase(request->flow);
+      retry_later(request);
     } else if (const auto* message = std::get_if<send_slot_message>(&effect)) {
       auto packet = message->packet;
       packet.set_from_host(host + 1);
--- a/benchmarks/model/relay_model.h
+++ b/benchmarks/model/relay_model.h
@@ -32,6 +32,8 @@
 public:
   relay_model(user_profile user, scenario what, std::uint64_t seed, relay_tuning tuning = {});
   ~relay_model() override;
+  relay_model(const relay_model&) = delete;
+  relay_model& operator=(const relay_model&) = delete;
 
 protected:
   void start() override;
--- a/include/zinniarelay/balance/work.h
+++ b/include/zinniarelay/balance/work.h
@@ -5,8 +5,8 @@
 #include "zinniarelay/upstream/upstream_slot.h"
 
 #include "peer.pb.h"
-#include <compare>
 #include <cstdint>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -17,7 +17,10 @@
   std::uint64_t flow = 0;
   std::uint64_t number = 0;
 
-  friend auto operator<=>(const work_key&, const work_key&) = default;
+  friend bool operator==(const work_key&, const work_key&) = default;
+  friend bool operator<(const work_key& a, const work_key& b) {
+    return std::tie(a.flow, a.number) < std::tie(b.flow, b.number);
+  }
 };
 
 /// A request that waits for a slot.
--- a/libraries/membership/member_table.cpp
+++ b/libraries/membership/member_table.cpp
@@ -320,6 +320,8 @@
     return;
   }
   if (known == members_.end() || is_other) {
+    // A late answer to an earlier probe may come from the incarnation that is replaced.
+    std::erase_if(pending_, [&](const auto& it) { return it.second.target == id; });
     // A host that is already gone is not worth an entry.
     if (known == members_.end() && (state == member_state::dead || state == member_state::left))
       return;
--- a/tests/proofs/balance_proofs.cpp
+++ b/tests/proofs/balance_proofs.cpp
@@ -210,8 +210,23 @@
   net.duplicate_percent = fault.duplicate_percent;
   net.longest_delay = fault.longest_delay;
   unsigned restarts = 0;
+  // By observer and host: the running incarnations that have been known once.
+  std::map<std::pair<incarnation_id, host_id>, incarnation_id> known;
+  bool is_returned = false;
+  const auto check = [&] {
+    for (unsigned n = 1; n <= hosts; ++n) {
+      if (!net.has(host_id{n})) continue;
+      for (const auto& [other, seen] : net.at(host_id{n}).members()) {
+        if (!net.has(other)) continue;
+        const auto running = net.at(other).self().incarnation;
+        auto& best = known[{net.at(host_id{n}).self().incarnation, other}];
+        if (seen.incarnation == running) best = running;
+        if (best == running && seen.incarnation != running) is_returned = true;
+      }
+    }
+  };
   for (int turn = 0; turn < 20; ++turn) {
-    net.run(milliseconds(static_cast<std::int64_t>(500 + engine() % 3'000)));
+    net.run(milliseconds(static_cast<std::int64_t>(500 + engine() % 3'000)), check);
     if (!fault.is_restarting) continue;
     const host_id id{static_cast<std::uint32_t>(1 + engine() % hosts)};
     net.stop(id);
@@ -219,7 +234,8 @@
     net.start(id, zone_id{static_cast<std::uint16_t>(id.value % 4)}, hosts, 4);
     ++restarts;
   }
-  net.run(milliseconds(20'000));
+  net.run(milliseconds(20'000), check);
+  if (is_returned) return {false, "an old incarnation came back"};
   // Under loss, one host may be suspected at any moment, but none may be dead or old.
   if (!net.is_agreed()) return {false, "a host knows a dead or an old incarnation"};
   return {true, std::to_string(restarts) + " restarts settled"};
@@ -318,6 +334,8 @@
         {.is_frozen = true, .is_echoing = false});
   leave("upstream leaves, update missed and host frozen",
         {.is_update_missed = true, .is_frozen = true});
+  leave("upstream leaves, update missed and host frozen, no echo",
+        {.is_update_missed = true, .is_frozen = true, .is_echoing = false});
   leave("upstream leaves, update missed and host cut off",
         {.is_update_missed = true, .is_cut_off = true});
   leave("upstream leaves, update missed, slots lent",
