benchmarks: calls on a cut connection fail, takeovers without budget are forwarded

Two faults of the model, not of the policies: a call over a cut link was never answered, and a third attempt without retry budget was dropped although the executing host was alive.

--- a/benchmarks/model/relay_model.cpp
+++ b/benchmarks/model/relay_model.cpp
@@ -18,6 +18,8 @@
 constexpr double retry_burst = 20;            // requests
 constexpr std::size_t datagram_overhead = 28; // bytes of IP and UDP headers
 constexpr std::size_t call_overhead = 120;    // bytes of TCP, HTTP/2 and gRPC framing
+// Two probes of 1 s and a period, docs/design.md R20.
+constexpr milliseconds silence_detection{2'500};
 // The fabric stops to spray packets to a dead host after this time.
 constexpr milliseconds spray_lag{1'000};
 
@@ -300,8 +302,9 @@
     const auto* known = entry.members.find(host_id{named.host + 1});
     const bool is_dead =
         known == nullptr || !known->is_live() || known->incarnation != named.incarnation;
-    if (is_dead || it->attempts >= takeover_attempt) {
-      if (entry.retry_tokens < 1) return;
+    const bool has_budget = entry.retry_tokens >= 1;
+    if (is_dead && !has_budget) return;
+    if (has_budget && (is_dead || it->attempts >= takeover_attempt)) {
       entry.retry_tokens -= 1;
       note_retry();
       const auto chosen = entry.router.choose(events_.now(), service_id{it->service}, it->flow);
@@ -359,7 +362,13 @@
   if (known == target_of_.end()) return;
   const auto index = known->second;
   const auto delay = trip(zone_of(host), targets_[index].zone);
-  if (!is_connected(zone_of(host), targets_[index].zone)) return;
+  if (!is_connected(zone_of(host), targets_[index].zone)) {
+    // The connection is silent; its replacement fails the call (docs/design.md R20).
+    events_.after(silence_detection, [this, host, run, begin] {
+      finished(host, run, begin.key, call_result::failed, false);
+    });
+    return;
+  }
   events_.after(delay, [this, host, run, it, begin, index, delay] {
     auto& to = targets_[index];
     const auto reply = [this, host, run, begin, delay](call_result result, bool is_answered) {
