entry: planned stops follow charts/host_drain.yaml, metrics of calls and outcomes

Cause: the drain was decided by flags in three places and reported nothing while it waited; a drain undone by an operator left the executor refusing. Change: host_drain interprets the chart; entering a state reports what the stop still waits for; call times and outcomes go through metric_registry.

--- a/include/zinniarelay/entry/entry_effect.h
+++ b/include/zinniarelay/entry/entry_effect.h
@@ -65,6 +65,14 @@
   wire::configuration configuration;
 };
 
+/// Reports what a planned stop still waits for.
+struct report_drain {
+  std::string state;
+  std::uint64_t pending_requests = 0;
+  std::uint64_t unacknowledged_answers = 0;
+  std::uint64_t token_validity_ms = 0; ///< tokens that name this host are valid for so long
+};
+
 /// Polls a control host.
 struct poll_control {
   std::string address;
@@ -73,7 +81,7 @@
 
 using entry_effect = std::variant<send_to_fabric, send_to_peer, reply_to_announcement, start_call,
                                   cancel_call, open_connection, close_connection, check_connection,
-                                  save_configuration, poll_control>;
+                                  save_configuration, report_drain, poll_control>;
 using entry_effects = std::vector<entry_effect>;
 
 } // namespace zinnia
--- /dev/null
+++ b/include/zinniarelay/entry/host_drain.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "zinniarelay/chart/state_chart.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace zinnia {
+
+enum class drain_event : std::uint8_t {
+  drain_requested,
+  drain_undone,
+  requests_finished,
+  answers_settled,
+};
+
+enum class drain_action : std::uint8_t {
+  refuse_opens,
+  accept_opens,
+  release_upstreams,
+  report_waiting,
+};
+
+/// The planned stop of an entry host, as charts/host_drain.yaml describes it
+/// (docs/design.md R12, R30).
+class host_drain {
+public:
+  /// Fails with every finding when the chart cannot be used.
+  static checked<host_drain> create(const std::filesystem::path& chart);
+
+  /// Takes an event and returns what the host has to do.
+  std::vector<drain_action> step(drain_event event);
+
+  bool is_serving() const { return state_ == chart_.start(); }
+  bool is_drained() const { return state_name() == "drained"; }
+  const std::string& state_name() const { return chart_.state_name(state_); }
+
+private:
+  explicit host_drain(state_chart chart);
+
+  state_chart chart_;
+  state_chart::index state_;
+};
+
+} // namespace zinnia
--- a/libraries/entry/entry_host.cpp
+++ b/libraries/entry/entry_host.cpp
@@ -5,6 +5,7 @@
 #include "zinniarelay/balance/rendezvous.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/entry/control_poller.h"
+#include "zinniarelay/entry/host_drain.h"
 #include "zinniarelay/entry/packet_router.h"
 #include "zinniarelay/membership/member_table.h"
 
@@ -72,7 +73,7 @@
 
 class entry_host::state {
 public:
-  state(const entry_settings& settings, key_ring keys, incarnation_id incarnation,
+  state(const entry_settings& settings, key_ring keys, incarnation_id incarnation, host_drain drain,
         random_engine engine);
 
   entry_effects step(time_point now, const entry_event& event);
@@ -118,11 +119,11 @@
   void send_to_host(host_id to, wire::peer_packet packet, entry_effects& out);
   void measure_load(time_point now, entry_effects& out);
   void apply_configuration(time_point now, const wire::configuration& update, entry_effects& out);
-  void update_drains();
-  bool is_draining() const { return is_stopping_ || directory_.is_draining(settings_.host()); }
+  void update_drains(entry_effects& out);
+  void step_drain(drain_event event, entry_effects& out);
+  bool is_draining() const { return !drain_.is_serving(); }
   void poll(time_point now, entry_effects& out);
-  void depart_when_idle(time_point now, entry_effects& out);
-  std::string drain_state() const;
+  void follow_drain(time_point now, entry_effects& out);
 
   entry_settings settings_;
   key_ring keys_;
@@ -132,9 +133,11 @@
   member_table members_;
   host_router router_;
   upstream_pool pool_;
+  metric_registry metrics_;
   request_dispatcher dispatcher_;
   packet_router packet_router_;
   control_poller poller_;
+  host_drain drain_;
   entry_counters counters_;
   time_point now_{};
   time_point next_load_{};
@@ -143,17 +146,20 @@
 };
 
 entry_host::state::state(const entry_settings& settings, key_ring keys, incarnation_id incarnation,
-                         random_engine engine)
+                         host_drain drain, random_engine engine)
     : settings_(settings), keys_(std::move(keys)), incarnation_(incarnation), engine_(engine),
       members_(
           {settings.host(), incarnation, settings.availability_zone(), settings.peer_address()}, {},
           engine_()),
       router_(settings.host(), settings.availability_zone(), {}, engine_()), pool_({}, engine_()),
-      dispatcher_(directory_, make_executor(), make_queue(),
-                  [this](host_id to, wire::peer_packet packet, entry_effects& out) {
-                    send_to_host(to, std::move(packet), out);
-                  }),
-      packet_router_(settings.host(), directory_, members_), poller_(settings.control_hosts()) {
+      dispatcher_(
+          directory_, make_executor(), make_queue(),
+          [this](host_id to, wire::peer_packet packet, entry_effects& out) {
+            send_to_host(to, std::move(packet), out);
+          },
+          metrics_),
+      packet_router_(settings.host(), directory_, members_), poller_(settings.control_hosts()),
+      drain_(std::move(drain)) {
   std::vector<host_address> seeds;
   // The id of a seed is learned from its answer.
   for (const auto& it : settings.seeds())
@@ -549,7 +555,7 @@
 // Draining hosts take no new upstreams, but one keeps its own until its requests
 // have ended, because it may need their slots (docs/design.md R12, R21).
 host_id entry_host::state::dispatching_host(const wire::announcement& said) const {
-  if (is_draining() && !dispatcher_.is_idle()) return settings_.host();
+  if (is_draining() && !dispatcher_.has_no_requests()) return settings_.host();
   std::vector<host_id> hosts;
   for (const auto& it : members_.live_hosts(settings_.availability_zone())) {
     const auto* member = members_.find(it);
@@ -630,28 +636,50 @@
                                             entry_effects& out) {
   const auto applied = directory_.apply(update);
   if (!applied || applied.value() != service_directory::outcome::applied) return;
-  update_drains();
+  update_drains(out);
   measure_load(now, out);
   out.emplace_back(save_configuration{directory_.complete()});
 }
 
 result<void> entry_host::state::restore(const wire::configuration& configuration) {
   ZINNIA_TRY(directory_.apply(configuration));
-  update_drains();
+  entry_effects ignored;
+  update_drains(ignored);
   return success();
 }
 
-void entry_host::state::update_drains() {
+void entry_host::state::update_drains(entry_effects& out) {
   std::vector<incarnation_id> upstreams;
   const auto configuration = directory_.complete();
   for (const auto& it : configuration.drains())
     if (it.kind() == wire::drain_entry::upstream && it.active())
       upstreams.emplace_back(incarnation_id{it.target()});
   pool_.set_drains(upstreams);
-  if (is_draining())
-    dispatcher_.executor().begin_drain();
-  else
-    dispatcher_.executor().end_drain();
+  const bool is_wanted = is_stopping_ || directory_.is_draining(settings_.host());
+  step_drain(is_wanted ? drain_event::drain_requested : drain_event::drain_undone, out);
+}
+
+void entry_host::state::step_drain(drain_event event, entry_effects& out) {
+  for (const auto it : drain_.step(event)) {
+    switch (it) {
+    case drain_action::refuse_opens:
+      dispatcher_.executor().begin_drain();
+      break;
+    case drain_action::accept_opens:
+      dispatcher_.executor().end_drain();
+      break;
+    case drain_action::release_upstreams:
+      // Upstreams are redirected at their next renewal, see dispatching_host().
+      next_load_ = now_;
+      break;
+    case drain_action::report_waiting:
+      out.emplace_back(report_drain{
+          drain_.state_name(), dispatcher_.executor().pending(),
+          dispatcher_.executor().unacknowledged(),
+          static_cast<std::uint64_t>(dispatcher_.executor().outstanding_tokens(now_).count())});
+      break;
+    }
+  }
 }
 
 void entry_host::state::on(time_point /*now*/, const keys_loaded& event, entry_effects& /*out*/) {
@@ -662,8 +690,7 @@
 
 void entry_host::state::on(time_point now, const drain_requested& /*event*/, entry_effects& out) {
   is_stopping_ = true;
-  dispatcher_.executor().begin_drain();
-  next_load_ = now;
+  step_drain(drain_event::drain_requested, out);
   measure_load(now, out);
 }
 
@@ -673,31 +700,30 @@
   carry_out(pool_.tick(now), out);
   dispatcher_.on_tick(now, out);
   poll(now, out);
-  depart_when_idle(now, out);
+  follow_drain(now, out);
 }
 
-void entry_host::state::depart_when_idle(time_point now, entry_effects& out) {
-  if (!is_stopping_ || has_departed_ || !dispatcher_.is_idle()) return;
+void entry_host::state::follow_drain(time_point now, entry_effects& out) {
+  if (drain_.is_serving()) return;
+  const auto& executor = dispatcher_.executor();
+  if (dispatcher_.has_no_requests()) step_drain(drain_event::requests_finished, out);
   // Nobody but this incarnation can say that a request under its tokens was not run.
-  if (dispatcher_.executor().outstanding_tokens(now) > milliseconds(0)) return;
+  if (executor.unacknowledged() == 0 && executor.outstanding_tokens(now) == milliseconds(0))
+    step_drain(drain_event::answers_settled, out);
+  if (!is_stopping_ || has_departed_ || !drain_.is_drained()) return;
   has_departed_ = true;
   carry_out(now, members_.step(now, departure_requested{}), out);
 }
 
 // Reports.
 
-std::string entry_host::state::drain_state() const {
-  if (!is_draining()) return "serving";
-  return dispatcher_.is_idle() ? "drained" : "draining";
-}
-
 wire::host_status entry_host::state::status(time_point now) const {
   wire::host_status status;
   status.set_host(settings_.host().value);
   status.set_incarnation(incarnation_.value);
   status.set_zone(settings_.availability_zone().value);
   status.set_revision(directory_.revision());
-  status.set_state(drain_state());
+  status.set_state(drain_.state_name());
   status.set_peer_address(settings_.peer_address().to_string());
   status.set_registration_address(settings_.registration_address().to_string());
   status.set_pending_requests(dispatcher_.executor().pending());
@@ -717,7 +743,7 @@
 }
 
 wire::metrics_reply entry_host::state::metrics(time_point now) const {
-  wire::metrics_reply reply;
+  auto reply = metrics_.report();
   const auto add = [&](const char* name, double value, std::string labels = {}) {
     auto* metric = reply.add_metrics();
     metric->set_name(name);
@@ -768,8 +794,14 @@
 result<entry_host> entry_host::create(const entry_settings& settings, key_ring keys,
                                       incarnation_id incarnation, std::uint64_t seed,
                                       std::optional<wire::configuration> last_configuration) {
-  auto initial =
-      std::make_unique<state>(settings, std::move(keys), incarnation, random_engine(seed));
+  auto drain = host_drain::create(std::filesystem::path(ZINNIA_CHART_DIR) / "host_drain.yaml");
+  if (!drain) {
+    const auto& first = drain.error().front();
+    return failure(error_kind::malformed, first.file + ':' + std::to_string(first.line),
+                   first.message);
+  }
+  auto initial = std::make_unique<state>(settings, std::move(keys), incarnation,
+                                         std::move(drain).value(), random_engine(seed));
   if (last_configuration) {
     ZINNIA_TRY(initial->restore(*last_configuration));
   }
--- a/libraries/entry/request_dispatcher.cpp
+++ b/libraries/entry/request_dispatcher.cpp
@@ -47,9 +47,9 @@
 
 request_dispatcher::request_dispatcher(const service_directory& directory,
                                        request_executor executor, dispatch_queue queue,
-                                       peer_sender send_to_host)
+                                       peer_sender send_to_host, metric_registry& metrics)
     : directory_(directory), executor_(std::move(executor)), queue_(std::move(queue)),
-      send_to_host_(std::move(send_to_host)) {}
+      send_to_host_(std::move(send_to_host)), metrics_(metrics) {}
 
 void request_dispatcher::carry_out(time_point now, const request_effects& effects,
                                    entry_effects& out) {
@@ -102,7 +102,7 @@
     return;
   }
   const auto number = next_call_++;
-  calls_.emplace(number, running_call{request.key, effect.key});
+  calls_.emplace(number, running_call{request.key, effect.key, false, now});
   start_call call{number, *connection, {}};
   const auto* service = directory_.find(request.service);
   if (service != nullptr) call.request.set_service(service->declaration().name());
@@ -142,7 +142,18 @@
   }
 }
 
+void request_dispatcher::count(const wire::caller_packet& packet) {
+  if (packet.has_part() && packet.part().offset() == 0) metrics_.counter_of("answers_sent").add();
+  if (!packet.has_outcome() || packet.outcome().kind() == wire::outcome_unset) return;
+  metrics_
+      .counter_of("outcomes_sent",
+                  "kind=" + wire::outcome_kind_Name(packet.outcome().kind()) +
+                      ",reason=" + wire::outcome_reason_Name(packet.outcome().reason()))
+      .add();
+}
+
 void request_dispatcher::send(const send_packet& effect, entry_effects& out) {
+  count(effect.packet);
   wire::fabric_frame frame;
   frame.set_caller_address(effect.route.caller.address);
   frame.set_caller_port(effect.route.caller.port);
@@ -158,6 +169,8 @@
   if (found == calls_.end()) return;
   const auto call = found->second;
   calls_.erase(found);
+  metrics_.distribution_of("call_ms").record(
+      std::chrono::duration<double, std::milli>(now - call.started).count());
   const auto effects = executor_.on_dispatch_result(now, call.attempt, event.result);
   // The slot is freed first, because the queue refuses a retry under a running key.
   carry_out(now, queue_.finish(now, call.key, evidence_of(event.result.outcome, call.is_cancelled)),
@@ -180,8 +193,8 @@
   borrowed_.on_tick(now, out);
 }
 
-bool request_dispatcher::is_idle() const {
-  return calls_.empty() && executor_.pending() == 0 && executor_.unacknowledged() == 0;
+bool request_dispatcher::has_no_requests() const {
+  return calls_.empty() && executor_.pending() == 0;
 }
 
 } // namespace zinnia
--- a/libraries/entry/request_dispatcher.h
+++ b/libraries/entry/request_dispatcher.h
@@ -5,6 +5,7 @@
 #include "zinniarelay/config/service_directory.h"
 #include "zinniarelay/entry/entry_effect.h"
 #include "zinniarelay/entry/entry_event.h"
+#include "zinniarelay/observe/metric_registry.h"
 #include "zinniarelay/request/request_executor.h"
 #include "zinniarelay/upstream/upstream_pool.h"
 
@@ -21,7 +22,7 @@
   using peer_sender = std::function<void(host_id, wire::peer_packet, entry_effects&)>;
 
   request_dispatcher(const service_directory& directory, request_executor executor,
-                     dispatch_queue queue, peer_sender send_to_host);
+                     dispatch_queue queue, peer_sender send_to_host, metric_registry& metrics);
 
   request_executor& executor() { return executor_; }
   const request_executor& executor() const { return executor_; }
@@ -33,13 +34,14 @@
   void on_host_gone(time_point now, host_id host, entry_effects& out);
   void on_tick(time_point now, entry_effects& out);
 
-  bool is_idle() const;
+  bool has_no_requests() const;
 
 private:
   struct running_call {
     attempt_key attempt;
     work_key key;
     bool is_cancelled = false;
+    time_point started;
   };
 
   void carry_out(time_point now, const dispatch_effects& effects, entry_effects& out);
@@ -47,11 +49,13 @@
   void reject(time_point now, const reject_work& effect, entry_effects& out);
   void cancel(const attempt_key& key, entry_effects& out);
   void send(const send_packet& effect, entry_effects& out);
+  void count(const wire::caller_packet& packet);
 
   const service_directory& directory_;
   request_executor executor_;
   dispatch_queue queue_;
   peer_sender send_to_host_;
+  metric_registry& metrics_;
   borrowed_connections borrowed_;
   std::unordered_map<work_key, dispatch_request> attempts_;
   std::unordered_map<std::uint64_t, running_call> calls_;
--- a/libraries/upstream/upstream_pool.cpp
+++ b/libraries/upstream/upstream_pool.cpp
@@ -330,7 +330,7 @@
   for (const auto& [id, it] : upstreams_) {
     const std::string_view state = it.is_superseded                        ? "superseded"
                                    : it.is_leaving                         ? "leaving"
-                                   : drains_.count(it.incarnation) > 0         ? "draining"
+                                   : drains_.count(it.incarnation) > 0     ? "draining"
                                    : now >= it.lease_until                 ? "expired"
                                    : !is_connected(it)                     ? "silent"
                                    : health_of(now, it) != health::healthy ? "unhealthy"
--- a/services/entryd/entry_daemon.cpp
+++ b/services/entryd/entry_daemon.cpp
@@ -168,6 +168,14 @@
   if (!saved) log_warning("configuration_not_saved").with(saved.error());
 }
 
+void entry_daemon::carry_out(const report_drain& effect) {
+  log_info("drain")
+      .with("state", effect.state)
+      .with("pending_requests", effect.pending_requests)
+      .with("unacknowledged_answers", effect.unacknowledged_answers)
+      .with("token_validity_ms", effect.token_validity_ms);
+}
+
 void entry_daemon::carry_out(const send_to_fabric& effect) {
   send(fabric_socket_, effect.to, effect.data);
 }
--- a/services/entryd/entry_daemon.h
+++ b/services/entryd/entry_daemon.h
@@ -44,6 +44,7 @@
   void carry_out(const close_connection& effect) { connections_->execute(effect); }
   void carry_out(const check_connection& effect) { connections_->execute(effect); }
   void carry_out(const save_configuration& effect);
+  static void carry_out(const report_drain& effect);
   void carry_out(const poll_control& effect) { control_->execute(effect); }
 
   entry_settings settings_;
