chart: an ignored event stays in its state

Cause: found by the first code that steps a chart: the cell of an ignored event kept state 0 as its target, so a draining host fell back to serving. Change: cells start with their own state; a test steps ignored events in a state other than the first. Also: benchmarks/capacity, the slopes of routing, membership and configuration.

--- /dev/null
+++ b/benchmarks/capacity.cpp
@@ -0,0 +1,212 @@
+#include "model/processor_time.h"
+#include "zinniarelay/config/configuration_difference.h"
+#include "zinniarelay/config/service_directory.h"
+#include "zinniarelay/entry/packet_router.h"
+#include "zinniarelay/membership/member_table.h"
+#include "zinniarelay/token/key_ring.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <glog/logging.h>
+#include <malloc.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+// Measures the slopes from which docs/CAPACITY.md is worked out: routing a packet,
+// membership traffic and time over the number of hosts, and the configuration in
+// force over the number of services. One line per measure: measure | value | bound.
+
+namespace {
+
+using namespace zinnia;
+
+constexpr std::uint64_t seed = 1;
+// docs/design.md section 1.
+constexpr double most_route_microseconds = 1;
+constexpr double most_control_bytes = 18e3;              // per second and host
+constexpr double most_control_microseconds = 0.04 * 1e6; // per second and host, 4% of a core
+constexpr double most_control_megabytes = 64;
+// A change of one service must leave time for 110,000 changes a day at 4% of a core.
+constexpr double most_change_microseconds = most_control_microseconds / (110'000.0 / 86'400.0);
+
+bool has_missed = false;
+
+void line(const std::string& measure, double value, const char* unit, double bound) {
+  const bool is_held = value <= bound;
+  has_missed = has_missed || !is_held;
+  std::printf("%s | %.3f %s | at most %.3f | %s\n", measure.c_str(), value, unit, bound,
+              is_held ? "held" : "missed");
+}
+
+double heap_bytes() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
+}
+
+wire::service_entry service_of(std::uint32_t id) {
+  wire::service_entry entry;
+  entry.set_id(id);
+  entry.set_generation(1);
+  entry.set_modified_revision(id);
+  auto& declaration = *entry.mutable_declaration();
+  declaration.set_name("service-" + std::to_string(id));
+  declaration.set_address(endpoint{0x0A000000U + id, 7000}.to_string());
+  declaration.set_credential_digest(std::string(32, 'd'));
+  for (const auto* name : {"lookup", "certify"}) {
+    auto& method = *declaration.add_methods();
+    method.set_name(name);
+    method.set_kind(wire::idempotent);
+    method.set_deadline_ms(30'000);
+  }
+  return entry;
+}
+
+void measure_routing() {
+  constexpr int samples = 2'001;
+  constexpr int packets = 100; // per sample
+  token_key key;
+  key.generation = 1;
+  key.secret.fill(3);
+  const auto ring = key_ring::create({key}, 1).value();
+  service_directory directory;
+  wire::configuration configuration;
+  configuration.set_revision(1);
+  *configuration.add_services() = service_of(1);
+  configuration.set_digest(digest_of(1, digest_of(configuration.services(0))));
+  CHECK(directory.apply(configuration));
+  const member_table members({host_id{1}, incarnation_id{1}, zone_id{1}, {1, 1}}, {}, seed);
+  const packet_router router(host_id{1}, directory, members);
+  flow_token token;
+  token.service = service_id{1};
+  token.service_generation = 1;
+  token.executing_host = host_id{1};
+  const auto sealed = ring.seal(token);
+  const endpoint address{0x0A000001U, 7000};
+  std::vector<double> times;
+  for (int n = 0; n < samples; ++n) {
+    const auto start = bench::processor_microseconds();
+    for (int i = 0; i < packets; ++i) {
+      const auto opened = ring.open(sealed);
+      const auto decision = router.route(opened.value(), address, wire::idempotent, 1);
+      CHECK(std::holds_alternative<handle_here>(decision));
+    }
+    times.push_back((bench::processor_microseconds() - start) / packets);
+  }
+  std::nth_element(times.begin(), times.begin() + samples / 2, times.end());
+  line("routing a packet from its token, median of " + std::to_string(samples) + " runs",
+       times[samples / 2], "us", most_route_microseconds);
+}
+
+// All hosts of one zone in one process; packets arrive at the next tick.
+void measure_membership(std::size_t hosts) {
+  constexpr milliseconds tick{50};
+  constexpr int warm_up_ticks = 200;
+  constexpr int ticks = 400; // 20 s
+  const double heap_before = heap_bytes();
+  std::vector<std::unique_ptr<member_table>> tables;
+  std::vector<host_address> addresses;
+  for (std::size_t n = 0; n < hosts; ++n)
+    addresses.push_back({host_id{static_cast<std::uint32_t>(n + 1)}, zone_id{1},
+                         endpoint{static_cast<std::uint32_t>(n), 1}});
+  for (std::size_t n = 0; n < hosts; ++n) {
+    tables.push_back(std::make_unique<member_table>(
+        local_member{addresses[n].id, incarnation_id{n + 1}, zone_id{1}, addresses[n].address},
+        member_settings{}, seed + n));
+    tables[n]->step({}, addresses_known{{addresses[(n + 1) % hosts]}});
+  }
+  struct packet {
+    std::size_t to = 0;
+    probe_received event;
+  };
+  std::vector<packet> in_flight;
+  std::uint64_t bytes = 0;
+  double busy = 0;
+  for (int n = 0; n < warm_up_ticks + ticks; ++n) {
+    const time_point now{tick * n};
+    if (n == warm_up_ticks) bytes = 0;
+    const auto start = bench::processor_microseconds();
+    std::vector<packet> sent;
+    const auto carry_out = [&](std::size_t from, const member_effects& effects) {
+      for (const auto& it : effects) {
+        const auto* probe = std::get_if<send_probe>(&it);
+        if (probe == nullptr) continue;
+        bytes += probe->packet.ByteSizeLong() + 28; // IPv4 and UDP headers
+        sent.push_back({probe->to.address, {addresses[from].address, probe->packet}});
+      }
+    };
+    for (const auto& it : in_flight)
+      carry_out(it.to, tables[it.to]->step(now, it.event));
+    for (std::size_t host = 0; host < hosts; ++host) {
+      if (n % 20 == 0) {
+        host_load load;
+        load.services.push_back({service_id{1}, 3, static_cast<std::uint32_t>(n), 0, {}});
+        carry_out(host, tables[host]->step(now, load_measured{load}));
+      }
+      carry_out(host, tables[host]->step(now, membership_tick{}));
+    }
+    in_flight = std::move(sent);
+    if (n >= warm_up_ticks) busy += bench::processor_microseconds() - start;
+  }
+  const double seconds = std::chrono::duration<double>(tick * ticks).count();
+  const auto count = static_cast<double>(hosts);
+  const auto where = ", " + std::to_string(hosts) + " hosts in one zone";
+  std::size_t known = 0;
+  for (const auto& it : tables)
+    known += it->members().size();
+  std::printf("members known per host%s | %.1f\n", where.c_str(),
+              static_cast<double>(known) / count);
+  line("membership bytes sent a second and host" + where,
+       static_cast<double>(bytes) / seconds / count, "B/s", most_control_bytes);
+  line("membership processor time a second and host" + where, busy / seconds / count, "us/s",
+       most_control_microseconds);
+  line("membership memory per host" + where, (heap_bytes() - heap_before) / count / 1e6, "MB",
+       most_control_megabytes);
+}
+
+void measure_directory(std::uint32_t services) {
+  constexpr std::uint32_t changes = 50;
+  const double heap_before = heap_bytes();
+  auto directory = std::make_unique<service_directory>();
+  std::uint64_t sum = 0; // of the digests of all services
+  {
+    wire::configuration configuration;
+    configuration.set_revision(services);
+    for (std::uint32_t id = 1; id <= services; ++id) {
+      *configuration.add_services() = service_of(id);
+      sum += digest_of(service_of(id));
+    }
+    configuration.set_digest(digest_of(configuration.revision(), sum));
+    CHECK(directory->apply(configuration));
+  }
+  const auto where = ", " + std::to_string(services) + " services";
+  line("configuration in force, memory" + where, (heap_bytes() - heap_before) / 1e6, "MB",
+       most_control_megabytes);
+  std::vector<wire::configuration> updates;
+  for (std::uint32_t n = 1; n <= changes; ++n) {
+    wire::configuration update;
+    update.set_revision(services + n);
+    update.set_base_revision(services + n - 1);
+    *update.add_services() = service_of(services + n);
+    sum += digest_of(service_of(services + n));
+    update.set_digest(digest_of(update.revision(), sum));
+    updates.push_back(update);
+  }
+  const auto start = bench::processor_microseconds();
+  for (const auto& it : updates)
+    CHECK(directory->apply(it));
+  line("applying a change of one service" + where,
+       (bench::processor_microseconds() - start) / changes, "us", most_change_microseconds);
+}
+
+} // namespace
+
+int main(int, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  measure_routing();
+  for (const std::size_t hosts : {9U, 36U, 144U, 576U})
+    measure_membership(hosts);
+  for (const std::uint32_t services : {100U, 1'000U, 5'000U, 17'000U})
+    measure_directory(services);
+  return has_missed ? 1 : 0;
+}
--- a/benchmarks/request_table.cpp
+++ b/benchmarks/request_table.cpp
@@ -1,10 +1,10 @@
+#include "model/processor_time.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/request/request_executor.h"
 #include "zinniarelay/token/key_ring.h"
 
 #include <algorithm>
 #include <cstdio>
-#include <ctime>
 #include <glog/logging.h>
 #include <malloc.h>
 #include <string>
@@ -17,6 +17,7 @@
 namespace {
 
 using namespace zinnia;
+using bench::processor_microseconds;
 
 // One entry process must hold 200,000 open flows in under 256 MB, of which the
 // records of acknowledged requests may take a quarter.
@@ -42,12 +43,6 @@
   return static_cast<double>(usage.ru_maxrss) / 1024;
 }
 
-double processor_microseconds() {
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
-}
-
 key_ring make_ring() {
   token_key key;
   key.generation = 1;
--- a/libraries/chart/state_chart.cpp
+++ b/libraries/chart/state_chart.cpp
@@ -75,6 +75,9 @@
   }
   read_state_names(nodes);
   chart_.cells_.resize(chart_.states_.size() * chart_.events_.size());
+  // An ignored event stays in its state.
+  for (std::size_t i = 0; i < chart_.cells_.size(); ++i)
+    chart_.cells_[i].next = static_cast<index>(i / chart_.events_.size());
   for (std::size_t i = 0; i < nodes.size(); ++i)
     read_state(nodes[i], static_cast<index>(i));
 
--- a/tests/libraries/chart/state_chart_test.cpp
+++ b/tests/libraries/chart/state_chart_test.cpp
@@ -56,6 +56,14 @@
   BOOST_TEST(chart.step(dead.next, 0).is_ignored);
 }
 
+// Guards against an ignored event that resets a machine to its first state.
+BOOST_AUTO_TEST_CASE(an_ignored_event_stays) {
+  const auto chart = load(good).value();
+  const auto dead = chart.step(chart.step(chart.start(), 0).next, 1).next;
+  BOOST_TEST(chart.step(dead, 0).next == dead);
+  BOOST_TEST(chart.step(dead, 1).next == dead);
+}
+
 // Guards against an enumeration of the code that no longer matches its chart
 // and then runs other actions than the chart names.
 BOOST_AUTO_TEST_CASE(numbers_names_as_the_code_does) {
