--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -1,8 +1,10 @@
 #include "model/processor_time.h"
 #include "zinniarelay/config/configuration_difference.h"
 #include "zinniarelay/config/service_directory.h"
+#include "zinniarelay/control/control_host.h"
 #include "zinniarelay/entry/packet_router.h"
 #include "zinniarelay/membership/member_table.h"
+#include "zinniarelay/replication/memory_storage.h"
 #include "zinniarelay/token/key_ring.h"
 
 #include <algorithm>
@@ -199,6 +201,64 @@
        (bench::processor_microseconds() - start) / changes, "us", most_change_microseconds);
 }
 
+wire::sync_request poll_of(std::uint32_t host) {
+  constexpr int upstreams = 7; // 120,000 targets before 19,000 nodes
+  wire::sync_request request;
+  auto& status = *request.mutable_status();
+  status.set_host(host);
+  status.set_incarnation(host);
+  status.set_zone(1);
+  status.set_state("serving");
+  status.set_peer_address("10.0.0.1:7300");
+  status.set_registration_address("10.0.0.1:7400");
+  for (int n = 0; n < upstreams; ++n) {
+    auto& upstream = *status.add_upstreams();
+    upstream.set_incarnation(seed + static_cast<std::uint64_t>(n));
+    upstream.set_service("registry");
+    upstream.set_address("10.0.0.2:7500");
+    upstream.set_slots(3);
+    upstream.set_state("serving");
+  }
+  return request;
+}
+
+// One control host that is its own quorum answers the polls of many entry hosts.
+void measure_polls(std::uint32_t hosts) {
+  constexpr int rounds = 3;
+  // 19,000 nodes poll once a second; 21 control hosts may each use one core.
+  constexpr double most_poll_microseconds = 1e6 * 21 / 19'000;
+  memory_storage files;
+  random_engine engine(seed);
+  control_host_settings settings;
+  settings.self.set_id(1);
+  settings.self.set_address("10.0.0.3:7100");
+  settings.founders = {settings.self};
+  CHECK(control_host::initialize(files, settings, engine));
+  auto control = control_host::open(files, settings, engine, {});
+  CHECK(control);
+  time_point now{};
+  for (int n = 0; n < 200; ++n)
+    control.value().tick(now += milliseconds(50));
+  const double heap_before = heap_bytes();
+  const auto start = bench::processor_microseconds();
+  std::uint64_t bytes = 0;
+  for (int round = 0; round < rounds; ++round) {
+    for (std::uint32_t host = 1; host <= hosts; ++host) {
+      const auto request = poll_of(host);
+      bytes += request.ByteSizeLong() + control.value().sync(now, request).ByteSizeLong();
+    }
+    now += milliseconds(1000);
+  }
+  const auto where = ", " + std::to_string(hosts) + " entry hosts";
+  const auto polls = static_cast<double>(rounds) * hosts;
+  line("control host, processor time of one poll" + where,
+       (bench::processor_microseconds() - start) / polls, "us", most_poll_microseconds);
+  std::printf("control host, bytes of one poll with 7 upstreams%s | %.1f\n", where.c_str(),
+              static_cast<double>(bytes) / polls);
+  std::printf("control host, memory per polling host%s | %.3f KB\n", where.c_str(),
+              (heap_bytes() - heap_before) / hosts / 1e3);
+}
+
 } // namespace
 
 int main(int, char** argv) {
@@ -208,5 +268,7 @@
     measure_membership(hosts);
   for (const std::uint32_t services : {100U, 1'000U, 5'000U, 17'000U})
     measure_directory(services);
+  for (const std::uint32_t hosts : {100U, 1'000U, 5'000U, 19'000U})
+    measure_polls(hosts);
   return has_missed ? 1 : 0;
 }
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -248,9 +248,11 @@
   wire::apply_action action;
   action.set_base_revision(request.base_revision());
   *action.mutable_services() = request.services();
-  // A retry is reduced against another state; the digest of the whole declaration
-  // shows that it is the same operation.
-  const auto bytes = action.SerializeAsString();
+  // A retry is reduced against another state, and may name another base revision;
+  // the digest of the declaration shows that it is the same operation (R27).
+  auto declared = action;
+  declared.clear_base_revision();
+  const auto bytes = declared.SerializeAsString();
   command.set_content_digest(XXH64(bytes.data(), bytes.size(), 0));
   *command.mutable_apply() = state_.reduced(action);
   return propose(now, wall_ms, std::move(command));
--- a/libraries/entry/entry_host.cpp
+++ b/libraries/entry/entry_host.cpp
@@ -22,6 +22,8 @@
 // would only add load.
 constexpr std::uint32_t forward_limit = 2;
 constexpr milliseconds load_period{100};
+// A tick looks at every member, so it is no more frequent than its timers need.
+constexpr milliseconds membership_period{50};
 constexpr milliseconds renewal_period{500};
 constexpr milliseconds lease_length{2000};
 // Headers that a datagram adds to the counted bytes: IPv4 and UDP.
@@ -141,6 +143,7 @@
   entry_counters counters_;
   time_point now_{};
   time_point next_load_{};
+  time_point next_membership_{};
   bool is_stopping_ = false;
   bool has_departed_ = false;
 };
@@ -695,7 +698,10 @@
 }
 
 void entry_host::state::on(time_point now, const timer_tick& /*event*/, entry_effects& out) {
-  carry_out(now, members_.step(now, membership_tick{}), out);
+  if (now >= next_membership_) {
+    next_membership_ = now + membership_period;
+    carry_out(now, members_.step(now, membership_tick{}), out);
+  }
   measure_load(now, out);
   carry_out(pool_.tick(now), out);
   dispatcher_.on_tick(now, out);
--- a/libraries/entry/packet_router.cpp
+++ b/libraries/entry/packet_router.cpp
@@ -22,9 +22,10 @@
       return handle_here{takeover_mode::executing_host_dead};
     if (attempt >= takeover_attempt) return handle_here{takeover_mode::repeated_attempt};
   }
-  // A dead host may only be cut off from here; it alone knows the outcome of a
-  // non-idempotent request (docs/design.md R5).
   if (executing == nullptr) return drop_packet{};
+  // The executor reports a non-idempotent request as unknown (docs/design.md R6), so
+  // that the caller opens a new flow for its next requests.
+  if (!executing->is_live()) return handle_here{takeover_mode::executing_host_dead};
   return forward_to{token.executing_host};
 }
 
