balance, entry: hosts cut off from the fabric are not chosen

Cause: a host that is cut off from the fabric but not from its peers looks idle, so two choices send it new flows, and idempotent requests under its tokens need three attempts and the retry budget before another host takes over. Change: summaries say when no packet came from the fabric for 1 s; such hosts are chosen last, and their idempotent requests are taken over at the first attempt.

--- a/include/zinniarelay/balance/host_router.h
+++ b/include/zinniarelay/balance/host_router.h
@@ -58,6 +58,7 @@
     std::uint32_t queued = 0;
     microseconds service_time{0};
     bool is_draining = false;
+    bool is_fabric_silent = false;
     double decisions = 0; ///< flows sent there, older ones count less
   };
   struct service_hosts {
--- a/include/zinniarelay/membership/host_load.h
+++ b/include/zinniarelay/membership/host_load.h
@@ -28,6 +28,8 @@
   bool draining = false;          ///< takes no new flows
   std::vector<service_load> services;
   endpoint registration; ///< where upstreams announce themselves
+  /// No packet came from the fabric for a while; replies to callers may not pass either.
+  bool fabric_silent = false;
 
   friend bool operator==(const host_load&, const host_load&) = default;
 };
--- a/libraries/balance/host_router.cpp
+++ b/libraries/balance/host_router.cpp
@@ -75,6 +75,7 @@
     at->queued = load.queued;
     at->service_time = load.service_time.count() > 0 ? load.service_time : settings_.service_time;
     at->is_draining = value.load.draining;
+    at->is_fabric_silent = value.load.fabric_silent;
   }
 }
 
@@ -128,14 +129,19 @@
   age_decisions(now, list);
   std::vector<candidate*> local;
   std::vector<candidate*> remote;
-  const auto collect = [&](bool is_draining) {
+  const auto collect = [&](bool is_draining, bool is_fabric_silent) {
+    if (!local.empty() || !remote.empty()) return;
     for (auto& it : list.hosts)
-      if (it.slots > 0 && it.is_draining == is_draining)
+      if (it.slots > 0 && it.is_draining == is_draining && it.is_fabric_silent == is_fabric_silent)
         (it.zone == zone_ ? local : remote).push_back(&it);
   };
-  collect(false);
+  collect(false, false);
+  // A host that is cut off from the fabric looks idle to its peers and would draw
+  // flows whose answers never arrive. Without traffic all hosts are silent.
+  collect(false, true);
   // Draining hosts still serve when no other host has an upstream of the service.
-  if (local.empty() && remote.empty()) collect(true);
+  collect(true, false);
+  collect(true, true);
   auto* near = two_choices(local);
   auto* far = two_choices(remote);
   if (near == nullptr && far == nullptr) return std::nullopt;
--- a/libraries/entry/entry_host.cpp
+++ b/libraries/entry/entry_host.cpp
@@ -22,6 +22,8 @@
 // would only add load.
 constexpr std::uint32_t forward_limit = 2;
 constexpr milliseconds load_period{100};
+// A host that serves thousands of flows a second gets packets in every millisecond.
+constexpr milliseconds fabric_silence{1000};
 // A tick looks at every member, so it is no more frequent than its timers need.
 constexpr milliseconds membership_period{50};
 constexpr milliseconds renewal_period{500};
@@ -143,6 +145,7 @@
   entry_counters counters_;
   time_point now_{};
   time_point next_load_{};
+  time_point last_fabric_packet_{};
   time_point next_membership_{};
   bool is_stopping_ = false;
   bool has_departed_ = false;
@@ -198,6 +201,7 @@
 // Packets of callers.
 
 void entry_host::state::on(time_point now, const fabric_datagram& event, entry_effects& out) {
+  last_fabric_packet_ = now;
   arrived_packet arrived;
   arrived.fabric = event.from;
   if (!arrived.frame.ParseFromString(event.data)) {
@@ -484,6 +488,7 @@
   load.draining = is_draining();
   load.registration = settings_.registration_address();
   load.services = dispatcher_.queue().loads(now);
+  load.fabric_silent = now - last_fabric_packet_ > fabric_silence;
   carry_out(now, members_.step(now, load_measured{std::move(load)}), out);
   router_.on_member(now, *members_.find(settings_.host()));
 }
--- a/libraries/entry/packet_router.cpp
+++ b/libraries/entry/packet_router.cpp
@@ -18,7 +18,8 @@
   if (token.executing_host == self_) return handle_here{};
   const auto* executing = members_.find(token.executing_host);
   if (kind == wire::idempotent) {
-    if (executing == nullptr || !executing->is_live())
+    // The answers of a host that is cut off from the fabric would be lost.
+    if (executing == nullptr || !executing->is_live() || executing->load.fabric_silent)
       return handle_here{takeover_mode::executing_host_dead};
     if (attempt >= takeover_attempt) return handle_here{takeover_mode::repeated_attempt};
   }
--- a/libraries/membership/wire_conversion.cpp
+++ b/libraries/membership/wire_conversion.cpp
@@ -34,6 +34,7 @@
   out.set_record_epoch(load.record_epoch);
   out.set_revision(load.revision);
   out.set_draining(load.draining);
+  out.set_fabric_silent(load.fabric_silent);
   out.set_registration_address(load.registration.address);
   out.set_registration_port(load.registration.port);
   for (const auto& it : load.services) {
@@ -47,13 +48,13 @@
 }
 
 host_load from_wire(const wire::host_load& load) {
-  host_load out{
-      load.sequence(),
-      load.record_epoch(),
-      load.revision(),
-      load.draining(),
-      {},
-      {load.registration_address(), static_cast<std::uint16_t>(load.registration_port())}};
+  host_load out{load.sequence(),
+                load.record_epoch(),
+                load.revision(),
+                load.draining(),
+                {},
+                {load.registration_address(), static_cast<std::uint16_t>(load.registration_port())},
+                load.fabric_silent()};
   out.services.reserve(static_cast<std::size_t>(load.services_size()));
   for (const auto& it : load.services())
     out.services.push_back({service_id{it.service_id()}, it.slots(), it.outstanding(), it.queued(),
--- a/tests/libraries/balance/host_router_test.cpp
+++ b/tests/libraries/balance/host_router_test.cpp
@@ -66,6 +66,17 @@
   BOOST_TEST(chosen[host_id{2}] > 100U);
 }
 
+// Guards against an idle-looking host that is cut off from the fabric drawing flows
+// whose answers never reach their callers.
+BOOST_AUTO_TEST_CASE(hosts_without_packets_from_the_fabric_are_avoided) {
+  auto silent = host(2, 0, 1, slots(8));
+  silent.load.fabric_silent = true;
+  router.on_member(now, silent);
+  BOOST_TEST(choose_many(10)[host_id{2}] == 10U); // better than none
+  router.on_member(now, host(3, 0, 1, slots(1, 50)));
+  BOOST_TEST(choose_many(100)[host_id{2}] == 0U);
+}
+
 // Guards against flows for hosts that are draining, dead or restarted.
 BOOST_AUTO_TEST_CASE(draining_dead_and_restarted_hosts_are_avoided) {
   router.on_member(now, host(1, 0, 1, slots(4)));
