control: a poll names a run of hosts instead of looking at all of them

Ruled out: the status table itself (memory per host is constant, 1.97 KB). Change: the reply walks from a random place and looks at 64 hosts at most.

--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -470,22 +470,27 @@
 }
 
 // A bounded random sample introduces hosts to each other; probing spreads the rest.
+// Names a run of hosts from a random place on. Looking at all of them for each poll
+// cost 1.1 ms with 19,000 hosts.
 void control_host::add_known_hosts(time_point now, const wire::sync_request& request,
                                    wire::sync_reply& reply) {
   constexpr milliseconds recent{10'000};
-  std::vector<const wire::host_status*> known;
-  for (const auto& [id, host] : hosts_)
-    if (now - host.seen <= recent && id != request.status().host() &&
-        !host.status.peer_address().empty())
-      known.push_back(&host.status);
-  const auto count = std::min(known.size(), settings_.peers_in_reply);
-  for (std::size_t n = 0; n < count; ++n) {
-    std::uniform_int_distribution<std::size_t> draw(n, known.size() - 1);
-    std::swap(known[n], known[draw(engine_)]);
+  constexpr std::size_t looked_at_per_named = 4;
+  if (hosts_.empty()) return;
+  std::uniform_int_distribution<std::uint32_t> draw(hosts_.begin()->first, hosts_.rbegin()->first);
+  auto it = hosts_.lower_bound(draw(engine_));
+  const auto most = std::min(hosts_.size(), settings_.peers_in_reply * looked_at_per_named);
+  for (std::size_t n = 0; n < most; ++n, ++it) {
+    if (static_cast<std::size_t>(reply.hosts_size()) >= settings_.peers_in_reply) return;
+    if (it == hosts_.end()) it = hosts_.begin();
+    const auto& known = it->second.status;
+    if (now - it->second.seen > recent || it->first == request.status().host() ||
+        known.peer_address().empty())
+      continue;
     auto& host = *reply.add_hosts();
-    host.set_host(known[n]->host());
-    host.set_zone(known[n]->zone());
-    host.set_peer_address(known[n]->peer_address());
+    host.set_host(known.host());
+    host.set_zone(known.zone());
+    host.set_peer_address(known.peer_address());
   }
 }
 
