replication: a learner is promoted only when it holds the record of its folder

Cause: generated schedule 2570 with larger declarations in the schedules ended with no leader 12 s after healing. Trace: host 4 led alone, recorded the folder of learner 5 and started its promotion, committed both by itself and stopped being leader. The joint members needed the vote of host 5, whose log ended before the record of its folder, so that it took itself for a blank folder and refused. Ruled out: the check (12 s is many election timeouts, and both hosts were up and connected) and a quorum lost with a disk (hosts 1 to 3 had left before). Change: check_promotion also needs the match index to reach the latest entry on membership.

--- a/libraries/replication/raft_node.cpp
+++ b/libraries/replication/raft_node.cpp
@@ -546,7 +546,9 @@
   if (!is_reachable(member)) return failure(error_kind::unavailable, place, "does not answer");
   // Entries that were committed while its answer was on the way do not count, or
   // a learner would never have caught up while operators work.
-  const auto needed = progress_.at(member).committed;
+  // It must hold the entry that records its data folder, without which it does not
+  // vote; the joint members could then elect nobody after the loss of the leader.
+  const auto needed = std::max(progress_.at(member).committed, log_.membership_index());
   if (known->identity() == 0 || match_index(member) < needed)
     return failure(error_kind::unavailable, place,
                    "has synced " + std::to_string(match_index(member)) + " of " +
