--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -1,11 +1,13 @@
 #include "zinniarelay/control/control_host.h"
 
 #include "zinniarelay/config/configuration_difference.h"
+#include "zinniarelay/config/declaration.h"
 #include "zinniarelay/core/endpoint.h"
 
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <sstream>
 #include <xxhash.h>
 
 namespace zinnia {
@@ -57,6 +59,14 @@
   return out;
 }
 
+// One line for each defect, so that all of them are reported together.
+std::string text_of(const std::vector<error>& defects) {
+  std::ostringstream out;
+  for (const auto& it : defects)
+    out << (out.tellp() > 0 ? "\n" : "") << it;
+  return out.str();
+}
+
 } // namespace
 
 result<void> control_host::initialize(storage& files, const control_host_settings& settings,
@@ -254,7 +264,13 @@
   declared.clear_base_revision();
   const auto bytes = declared.SerializeAsString();
   command.set_content_digest(XXH64(bytes.data(), bytes.size(), 0));
-  *command.mutable_apply() = state_.reduced(action);
+  // A client may send what zinniactl would not: the rules for files hold for messages
+  // too, and the refused attempt is kept in the audit trail (R27).
+  const auto defects = service_errors({request.services().begin(), request.services().end()});
+  if (defects.empty())
+    *command.mutable_apply() = state_.reduced(action);
+  else
+    command.set_refused(text_of(defects));
   return propose(now, wall_ms, std::move(command));
 }
 
--- a/tests/libraries/control/control_host_test.cpp
+++ b/tests/libraries/control/control_host_test.cpp
@@ -89,6 +89,21 @@
              wire::apply_reply::invalid);
 }
 
+// Guards against a client that skips the checks of zinniactl, and against refused
+// attempts that leave no trace.
+BOOST_FIXTURE_TEST_CASE(declaration_with_defects_is_refused_and_audited, founded) {
+  auto request = control_group::request_of("a", 0, {80, 81});
+  request.mutable_services(0)->mutable_methods(0)->set_kind(wire::method_kind_unset);
+  request.mutable_services(1)->set_address("10.9.0.1");
+  const auto reply = group.apply(request, milliseconds(3'000));
+  BOOST_TEST(reply.result() == wire::apply_reply::invalid);
+  BOOST_TEST(reply.cause().find("services[0].methods[0].kind") != std::string::npos);
+  BOOST_TEST(reply.cause().find("services[1].address") != std::string::npos);
+  const auto& state = group.host(group.leader()).state();
+  BOOST_TEST(state.revision() == 0U);
+  BOOST_TEST(state.audit(0, 10).size() == 1U);
+}
+
 // Guards against status showing a dead host as present.
 BOOST_FIXTURE_TEST_CASE(statuses_age_and_are_forgotten, founded) {
   auto& host = group.host(1);
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -161,6 +161,12 @@
       auto& service = *out.add_services();
       service.set_name("service-" + std::to_string(port));
       service.set_address("10.9.0.1:" + std::to_string(port));
+      service.set_queue_per_slot(4);
+      service.set_credential_digest(std::string(32, 'd'));
+      auto& method = *service.add_methods();
+      method.set_name("lookup");
+      method.set_kind(wire::idempotent);
+      method.set_deadline_ms(1'000);
     }
     return out;
   }
