--- a/services/entryd/main.cpp
+++ b/services/entryd/main.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 #include <sodium.h>
 
@@ -73,6 +74,9 @@
   const auto settings = entry_settings::load(settings_path);
   if (!settings) return report(settings.error());
   if (is_check_only) return 0;
+  // Any caller can send malformed packets, which are counted; a line for each would
+  // let it fill the disk.
+  google::protobuf::SetLogHandler(nullptr);
   start_log(argv[0], {settings.value().host().value, settings.value().availability_zone()});
   return run(settings.value());
 }
