entry: a received packet is moved, not copied, on its way to its handler

Cause: on_packet copied the frame and payload of every datagram only to parse into the copy; its callers never used theirs again. Change: it takes the packet by value and both callers move theirs. Result: behaviour unchanged, test_entry passes; the time saved was not measured.

--- a/libraries/entry/entry_host_packets.cpp
+++ b/libraries/entry/entry_host_packets.cpp
@@ -23,12 +23,10 @@
     ++counters_.malformed;
     return;
   }
-  on_packet(now, arrived, out);
+  on_packet(now, std::move(arrived), out);
 }
 
-void entry_host::state::on_packet(time_point now, const arrived_packet& frame_only,
-                                  entry_effects& out) {
-  auto arrived = frame_only;
+void entry_host::state::on_packet(time_point now, arrived_packet arrived, entry_effects& out) {
   if (!arrived.packet.ParseFromString(arrived.frame.payload())) {
     ++counters_.malformed;
     refuse(arrived, wire::refusal_malformed, out);
@@ -244,7 +242,7 @@
                       static_cast<std::uint16_t>(packet.forward().fabric_port())};
     arrived.hops = std::max<std::uint32_t>(packet.forward().hops(), 1);
     arrived.is_takeover = packet.forward().takeover();
-    on_packet(now, arrived, out);
+    on_packet(now, std::move(arrived), out);
     break;
   }
   case wire::peer_packet::kProbe:
--- a/libraries/entry/entry_host_state.h
+++ b/libraries/entry/entry_host_state.h
@@ -77,7 +77,7 @@
   void on(time_point now, const drain_requested& event, entry_effects& out);
   void on(time_point now, const timer_tick& event, entry_effects& out);
 
-  void on_packet(time_point now, const arrived_packet& arrived, entry_effects& out);
+  void on_packet(time_point now, arrived_packet arrived, entry_effects& out);
   void on_open(time_point now, const arrived_packet& arrived, entry_effects& out);
   void on_request(time_point now, const arrived_packet& arrived, entry_effects& out);
   void on_ack(time_point now, const arrived_packet& arrived, entry_effects& out);
