replication: reads that a quorum confirms, declarations by version

A read asks a quorum in a round of its own and rests on no clock. The highest version of a packet-flow declaration is in force; a resend is accepted and changes nothing. The monotonic clock is CLOCK_BOOTTIME, because the steady clock stands still while a machine is suspended and leases would outlive the suspension.

--- a/include/zinniarelay/core/time.h
+++ b/include/zinniarelay/core/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace zinnia {
 
@@ -10,9 +11,15 @@
 /// Monotonic time as the daemons pass it into decisions. Never compared between hosts.
 using time_point = std::chrono::time_point<std::chrono::steady_clock, microseconds>;
 
-/// The monotonic clock in the resolution of time_point; for daemons and tools only.
+/// Time since the machine started, in the resolution of time_point; for daemons and
+/// tools only. It includes time in which the machine was suspended, so that leases and
+/// ages run out meanwhile.
 inline time_point monotonic_now() {
-  return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(
+      std::chrono::duration_cast<microseconds>(std::chrono::seconds(now.tv_sec)) +
+      std::chrono::duration_cast<microseconds>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 } // namespace zinnia
--- a/include/zinniarelay/replication/control_state.h
+++ b/include/zinniarelay/replication/control_state.h
@@ -37,6 +37,9 @@
   std::uint64_t digest() const;
   std::size_t service_count() const { return services_.size(); }
 
+  /// The declaration of packet flows in force; version 0 before the first.
+  const wire::versioned_action& flows() const { return flows_; }
+
   /// All services and active drains.
   wire::configuration complete() const;
 
@@ -62,6 +65,7 @@
 
   change apply(const wire::apply_action& action);
   change apply(const wire::drain_entry& action);
+  change apply(const wire::versioned_action& action);
   void put(const wire::service_declaration& declared, std::uint32_t id, change& seen);
   void remove(std::uint32_t id, change& seen);
   void store(wire::service_entry entry);
@@ -85,6 +89,7 @@
   std::deque<std::string> result_order_;
   std::deque<wire::audit_record> audit_;
   std::uint64_t last_digest_ = 0;
+  wire::versioned_action flows_;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/replication/raft_node.h
+++ b/include/zinniarelay/replication/raft_node.h
@@ -60,8 +60,10 @@
 struct raft_compaction {
   std::string state;
 };
-using raft_event =
-    std::variant<raft_tick, raft_received, raft_proposal, raft_member_proposal, raft_compaction>;
+/// Asks a quorum whether this member still leads.
+struct raft_read {};
+using raft_event = std::variant<raft_tick, raft_received, raft_proposal, raft_member_proposal,
+                                raft_compaction, raft_read>;
 
 /// What the owner carries out, in the order of the members: nothing may be sent
 /// or applied before the earlier parts are synced.
@@ -74,7 +76,8 @@
   std::vector<wire::log_entry> committed;                ///< apply
   std::vector<wire::raft_message> messages;              ///< send
   std::optional<std::uint64_t> proposed_index;           ///< where a proposal was appended
-  std::string refusal;                                   ///< why it was not
+  std::optional<std::uint64_t> read_round;               ///< that confirms a raft_read
+  std::string refusal;                                   ///< why there is neither
   std::vector<std::string> complaints;                   ///< for the log: what was ignored and why
 };
 
@@ -98,6 +101,7 @@
   raft_role role() const { return role_; }
   std::uint64_t id() const { return identity_.control(); }
   std::uint64_t term() const { return identity_.term(); }
+  const wire::node_identity& identity() const { return identity_; }
   /// 0 when unknown.
   std::uint64_t leader() const { return leader_; }
   std::uint64_t commit_index() const { return commit_index_; }
@@ -110,6 +114,13 @@
   /// Time since a quorum was in contact and this member had all that was committed;
   /// milliseconds::max() for never.
   milliseconds quorum_age(time_point now) const;
+  /// True once a quorum has answered a round of this leader's present term. What was
+  /// committed when the round was sent is then the newest that was acknowledged.
+  bool is_confirmed(std::uint64_t round) const;
+  /// Time since a member last answered this leader, or since it leads.
+  milliseconds silence_of(std::uint64_t member, time_point now) const;
+  /// True when a learner could be promoted now.
+  bool is_promotable(std::uint64_t member) const;
   /// The highest entry that a member has synced; known by the leader only.
   std::uint64_t match_index(std::uint64_t member) const;
 
@@ -119,7 +130,9 @@
     std::uint64_t match = 0;
     time_point contact{};                        ///< when the newest answered round was sent
     std::uint64_t committed = 0;                 ///< the commit index when it was sent
+    std::uint64_t answered_round = 0;            ///< the newest one
     std::uint64_t identity = 0;                  ///< of the data folder that answered first
+    std::uint32_t zone = 0;                      ///< that the member names
     std::shared_ptr<const std::string> snapshot; ///< being sent
     std::uint64_t snapshot_index = 0;
     std::uint64_t snapshot_checksum = 0;
@@ -138,6 +151,7 @@
   void on(const raft_proposal& event);
   void on(const raft_member_proposal& event);
   void on(const raft_compaction& event);
+  void on(const raft_read& event);
 
   bool is_acceptable(const wire::raft_message& message);
   void take(const wire::raft_message& message, const wire::vote_request& body);
@@ -202,6 +216,7 @@
   std::deque<sent_round> rounds_;
   std::uint64_t round_ = 0;
   std::uint64_t own_term_index_ = 0; ///< first entry of this leader's term
+  time_point led_since_;
 
   std::uint64_t incoming_checksum_ = 0;
   std::string incoming_;
--- a/libraries/replication/control_state.cpp
+++ b/libraries/replication/control_state.cpp
@@ -20,6 +20,8 @@
     return command.drain().active() ? "drain" : "end drain";
   case action_case::kMembers:
     return "change members";
+  case action_case::kVersion:
+    return "apply version";
   case action_case::kRefused:
     return "refused";
   case action_case::ACTION_NOT_SET:
@@ -95,6 +97,9 @@
     seen.before.assign(command.members().before().begin(), command.members().before().end());
     seen.after.assign(command.members().after().begin(), command.members().after().end());
     break;
+  case action_case::kVersion:
+    seen = apply(command.version());
+    break;
   case action_case::kRefused:
     seen.refusal = command.refused();
     break;
@@ -189,6 +194,17 @@
   return seen;
 }
 
+// The highest version is in force; an older or equal one is accepted and changes
+// nothing, so that a declaration that arrives again is never refused.
+control_state::change control_state::apply(const wire::versioned_action& action) {
+  change seen;
+  if (action.version() <= flows_.version()) return seen;
+  seen.before.push_back("flows of version " + std::to_string(flows_.version()));
+  seen.after.push_back("flows of version " + std::to_string(action.version()));
+  flows_ = action;
+  return seen;
+}
+
 void control_state::put(const wire::service_declaration& declared, std::uint32_t id, change& seen) {
   wire::service_entry entry;
   if (id != 0) {
@@ -348,6 +364,7 @@
   out.set_next_service_id(next_service_id_);
   out.set_next_generation(next_generation_);
   out.set_oldest_delta_base(oldest_delta_base_);
+  *out.mutable_flows() = flows_;
   for (const auto& id : result_order_)
     *out.add_results() = results_.at(id);
   for (const auto& it : audit_)
@@ -374,6 +391,7 @@
     out.remember(std::move(it));
   for (auto& it : *in.mutable_audit())
     out.audit_.push_back(std::move(it));
+  out.flows_ = in.flows();
   out.last_digest_ = digest_of(out.revision_, out.sum_of_items_);
   if (out.digest() != in.configuration().digest())
     return failure(error_kind::corrupted, "snapshot", "digest of its configuration differs");
--- a/libraries/replication/raft_node.cpp
+++ b/libraries/replication/raft_node.cpp
@@ -89,6 +89,17 @@
   effects_.retained = log_.all_entries();
 }
 
+// Before the first entry of its own term is committed, a leader does not know what
+// its predecessors committed.
+void raft_node::on(const raft_read& /*event*/) {
+  if (role_ != raft_role::leader || commit_index_ < own_term_index_) {
+    effects_.refusal = "not the leader, or not yet confirmed as the leader";
+    return;
+  }
+  broadcast();
+  effects_.read_round = round_;
+}
+
 bool raft_node::is_acceptable(const wire::raft_message& message) {
   const auto refuse = [&](const std::string& cause) {
     effects_.complaints.push_back("message of control host " + std::to_string(message.from()) +
@@ -262,6 +273,7 @@
 void raft_node::become_leader() {
   role_ = raft_role::leader;
   leader_ = id();
+  led_since_ = now_;
   progress_.clear();
   rounds_.clear();
   for (const auto& member : membership().everyone()) {
@@ -338,9 +350,29 @@
   return static_cast<std::uint32_t>(std::min<std::int64_t>(highest, quorum_age(now_).count()));
 }
 
+bool raft_node::is_confirmed(std::uint64_t round) const {
+  if (role_ != raft_role::leader) return false;
+  return membership().has_quorum([&](std::uint64_t member) {
+    if (member == id()) return true;
+    const auto it = progress_.find(member);
+    return it != progress_.end() && it->second.answered_round >= round;
+  });
+}
+
+milliseconds raft_node::silence_of(std::uint64_t member, time_point now) const {
+  if (member == id()) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(now - std::max(led_since_, contact_of(member)));
+}
+
+bool raft_node::is_promotable(std::uint64_t member) const {
+  return role_ == raft_role::leader && check_promotion(member).has_value();
+}
+
 // The age counts from when the answered round was sent, because that is the last
 // moment at which the member provably still followed this leader.
 void raft_node::note_answer(std::uint64_t member, std::uint64_t round) {
+  auto& answered = progress_of(member).answered_round;
+  answered = std::max(answered, round);
   const auto it = std::find_if(rounds_.begin(), rounds_.end(),
                                [&](const auto& sent) { return sent.number == round; });
   if (it == rounds_.end()) return;
@@ -360,6 +392,7 @@
   message.set_cluster(identity_.cluster());
   message.set_from_identity(identity_.identity());
   message.set_from_founder(identity_.founder());
+  message.set_from_zone(identity_.zone());
   return message;
 }
 
@@ -431,6 +464,7 @@
   if (membership().find(message.from()) == nullptr) return;
   auto& from = progress_of(message.from());
   if (from.identity == 0) from.identity = message.from_identity();
+  if (from.identity == message.from_identity()) from.zone = message.from_zone();
   if (from.identity != message.from_identity()) return;
   note_answer(message.from(), body.round());
   if (body.success()) {
@@ -454,6 +488,7 @@
   if (membership().find(message.from()) == nullptr) return;
   auto& from = progress_of(message.from());
   if (from.identity == 0) from.identity = message.from_identity();
+  if (from.identity == message.from_identity()) from.zone = message.from_zone();
   if (from.identity != message.from_identity()) return;
   note_answer(message.from(), body.round());
   if (!from.snapshot || body.checksum() != from.snapshot_checksum) return;
@@ -509,14 +544,22 @@
 }
 
 // Founders and learners are named before their data folders are known; once a
-// folder has answered, another one under the same id is refused for good.
+// folder has answered, another one under the same id is refused for good. The zones
+// of founders that only their addresses name are learnt in the same way.
 void raft_node::record_identities() {
   if (commit_index_ < own_term_index_ || !is_membership_settled()) return;
   auto next = membership();
   bool is_changed = false;
   for (auto& member : next.members) {
-    if (member.identity() != 0) continue;
     const auto seen = progress_.find(member.id());
+    const auto zone = member.id() == id()       ? identity_.zone()
+                      : seen == progress_.end() ? 0
+                                                : seen->second.zone;
+    if (member.zone() == 0 && zone != 0) {
+      member.set_zone(zone);
+      is_changed = true;
+    }
+    if (member.identity() != 0) continue;
     const auto identity = member.id() == id()       ? identity_.identity()
                           : seen == progress_.end() ? 0
                                                     : seen->second.identity;
@@ -577,11 +620,11 @@
     if (change.member.id() == 0 || change.member.address().empty())
       return failure(error_kind::malformed, place, "a learner needs an id and an address");
     for (const auto& it : members)
-      if (it.id() == change.member.id() || it.address() == change.member.address())
+      if (it.id() == change.member.id() ||
+          (it.address() == change.member.address() && change.member.identity() == 0))
         return failure(error_kind::conflict, place, "id or address belongs to a member");
     auto learner = change.member;
     learner.set_learner(true);
-    learner.set_identity(0);
     members.push_back(std::move(learner));
     break;
   }
