--- a/include/zinniarelay/config/control_settings.h
+++ b/include/zinniarelay/config/control_settings.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace zinnia {
@@ -19,6 +21,15 @@
   friend auto operator<=>(const founding_member&, const founding_member&) = default;
 };
 
+/// Settings of a control group that forms and repairs itself (docs/design.md R33).
+struct group_formation {
+  std::vector<endpoint> seeds; ///< gRPC; the founders at the first start
+  bool is_first_start = false; ///< of the whole system, with empty data folders
+  std::uint32_t tolerated_losses = 1;
+
+  friend bool operator==(const group_formation&, const group_formation&) = default;
+};
+
 /// What a control host learns from its settings file.
 class control_settings {
 public:
@@ -26,6 +37,7 @@
   /// in the file are relative to its folder.
   static checked<control_settings> load(const std::filesystem::path& path);
 
+  /// 0 when the control group forms itself and the data folder names the host.
   control_id control() const { return control_; }
   zone_id availability_zone() const { return availability_zone_; }
   endpoint address() const { return address_; } ///< gRPC
@@ -34,6 +46,15 @@
   /// Empty on a host that joins a running cluster as a learner.
   const std::vector<founding_member>& founding_members() const { return founding_members_; }
 
+  /// Absent when an operator founds the group and changes its members.
+  const std::optional<group_formation>& group() const { return group_; }
+  /// Serve the operators' HTTP interface and metrics; absent for none.
+  const std::optional<endpoint>& operator_address() const { return operator_address_; }
+  const std::optional<endpoint>& metrics_address() const { return metrics_address_; }
+  /// As logs name this host and its zone.
+  const std::string& name() const { return name_; }
+  const std::string& zone_name() const { return zone_name_; }
+
   friend bool operator==(const control_settings&, const control_settings&) = default;
 
 private:
@@ -45,6 +66,11 @@
   std::uint64_t cluster_ = 0;
   std::filesystem::path data_folder_;
   std::vector<founding_member> founding_members_;
+  std::optional<group_formation> group_;
+  std::optional<endpoint> operator_address_;
+  std::optional<endpoint> metrics_address_;
+  std::string name_;
+  std::string zone_name_;
 };
 
 } // namespace zinnia
--- /dev/null
+++ b/include/zinniarelay/flow/flow_table.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/packet_head.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+
+namespace zinnia {
+
+/// The flows whose packets this host has carried lately. It is a memory of load
+/// and evidence only: any host routes any packet without it.
+class flow_table {
+public:
+  struct flow {
+    std::uint64_t upstream = 0; ///< incarnation
+    time_point opened;
+    time_point seen;
+    std::uint32_t copies = 0; ///< of the opening packet, sent so far
+    bool is_answered = false; ///< the caller has heard from the upstream
+  };
+
+  /// The flow, or null.
+  flow* find(const flow_key& key);
+  /// Adds a flow, or moves a known one to another upstream.
+  flow& assign(time_point now, const flow_key& key, std::uint64_t upstream);
+  void close(const flow_key& key);
+  /// Drops the flows without a packet for the given time.
+  void expire(time_point now, milliseconds unanswered, milliseconds idle);
+
+  /// Open flows of an upstream that this host knows of.
+  std::uint32_t open_of(std::uint64_t upstream) const;
+  std::size_t size() const { return flows_.size(); }
+
+private:
+  void count(std::uint64_t upstream, int change);
+
+  absl::flat_hash_map<flow_key, flow, std::hash<flow_key>> flows_;
+  std::unordered_map<std::uint64_t, std::uint32_t> open_;
+};
+
+} // namespace zinnia
--- /dev/null
+++ b/include/zinniarelay/flow/route_table.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "flow.pb.h"
+#include "zinniarelay/core/endpoint.h"
+#include "zinniarelay/core/error.h"
+#include "zinniarelay/core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace zinnia {
+
+/// A service that takes a share of a route's new flows.
+struct service_share {
+  std::string service;
+  std::uint32_t weight = 1;
+
+  friend auto operator<=>(const service_share&, const service_share&) = default;
+};
+
+/// Where the new flows to one address go.
+struct route {
+  std::string name;
+  wire::request_kind kind = wire::request_kind_unset;
+  milliseconds timeout{0};
+  milliseconds aim{0}; ///< latency objective
+  std::uint32_t priority = 0;
+  std::vector<service_share> services;
+
+  /// The service of a flow, by its hash; equal on all hosts.
+  const std::string& service_of(std::uint64_t flow_hash) const;
+
+  friend bool operator==(const route&, const route&) = default;
+};
+
+/// All defects of a declaration of packet flows; empty when it can be put in force.
+std::vector<error> flow_declaration_errors(const wire::flow_declaration& declaration);
+
+/// The routes of one version of the declaration.
+class route_table {
+public:
+  route_table() = default;
+  explicit route_table(const wire::flow_declaration& declaration);
+
+  std::uint64_t version() const { return version_; }
+  milliseconds idle_timeout() const { return idle_timeout_; }
+  std::size_t size() const { return routes_.size(); }
+  /// Null when no route has this address.
+  const route* find(const endpoint& address) const;
+
+private:
+  std::uint64_t version_ = 0;
+  milliseconds idle_timeout_{0};
+  std::unordered_map<endpoint, route> routes_;
+};
+
+} // namespace zinnia
--- a/include/zinniarelay/observe/log_line.h
+++ b/include/zinniarelay/observe/log_line.h
@@ -19,11 +19,13 @@
 struct log_identity {
   std::uint64_t host = 0; ///< entry host or control host number
   zone_id zone;
+  std::string name = {};      ///< shown instead of the number when it is not empty
+  std::string zone_name = {}; ///< likewise
 
   friend bool operator==(const log_identity&, const log_identity&) = default;
 };
 
-/// Starts glog for a program, writing to standard error; call it once, early in main().
+/// Starts glog for a program, writing to standard output; call it once, early in main().
 void start_log(const char* program, log_identity identity);
 
 /// One structured line: time, level, host, zone, event and fields as key=value.
--- a/libraries/config/control_settings.cpp
+++ b/libraries/config/control_settings.cpp
@@ -31,6 +31,16 @@
   return members;
 }
 
+std::optional<group_formation> read_group(yaml_map& map, finding_sink& sink) {
+  if (!map.has("seeds")) return std::nullopt;
+  group_formation out;
+  out.seeds = read_seeds(map, "seeds", "seed_port", sink);
+  out.is_first_start = map.text("first_start", presence::optional).value_or("") == "true";
+  out.tolerated_losses = static_cast<std::uint32_t>(
+      map.number("tolerated_losses", presence::optional, {0, 4}).value_or(1));
+  return out;
+}
+
 } // namespace
 
 checked<control_settings> control_settings::load(const std::filesystem::path& path) {
@@ -40,9 +50,14 @@
 
   control_settings out;
   yaml_map map(*document, "the control settings", sink);
-  const auto control = map.number("control", presence::required, identifier_range);
+  out.group_ = read_group(map, sink);
+  const auto control =
+      map.number("control", out.group_ ? presence::optional : presence::required, identifier_range);
   out.control_ = control_id{control.value_or(0)};
-  out.availability_zone_ = read_zone(map, "availability_zone").value_or(zone_id{});
+  read_zone_name(map, out.availability_zone_, out.zone_name_);
+  out.name_ = map.text("name", presence::optional).value_or(std::to_string(out.control_.value));
+  out.operator_address_ = map.address("operator_address", presence::optional);
+  out.metrics_address_ = map.address("metrics_address", presence::optional);
   out.address_ = map.address("address", presence::required).value_or(endpoint{});
   out.cluster_ = map.number("cluster", presence::required, identifier_range).value_or(0);
   // The folder is never created here: a mistyped path would look like a lost
--- a/libraries/config/setting_checks.cpp
+++ b/libraries/config/setting_checks.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <xxhash.h>
 
 namespace zinnia {
 
@@ -21,6 +22,26 @@
   return zone_id{static_cast<std::uint16_t>(*value)};
 }
 
+void read_zone_name(yaml_map& map, zone_id& zone, std::string& name) {
+  if (map.has("availability_zone") || !map.has("zone_name")) {
+    zone = read_zone(map, "availability_zone").value_or(zone_id{});
+    name = std::to_string(zone.value);
+    return;
+  }
+  name = map.text("zone_name", presence::required).value_or("");
+  constexpr std::uint64_t highest = std::numeric_limits<std::uint16_t>::max();
+  zone = zone_id{static_cast<std::uint16_t>(1 + XXH64(name.data(), name.size(), 0) % highest)};
+}
+
+std::vector<endpoint> read_seeds(yaml_map& map, std::string_view key, std::string_view port_key,
+                                 finding_sink& sink) {
+  auto out = read_addresses(map, key, presence::required, sink);
+  const auto port = map.number(port_key, presence::optional, {1, UINT16_MAX});
+  for (auto& it : out)
+    if (port) it.port = static_cast<std::uint16_t>(*port);
+  return out;
+}
+
 std::vector<endpoint> read_addresses(yaml_map& map, std::string_view key, presence need,
                                      finding_sink& sink) {
   std::vector<endpoint> out;
--- a/libraries/config/setting_checks.h
+++ b/libraries/config/setting_checks.h
@@ -27,10 +27,19 @@
 
 std::optional<zone_id> read_zone(yaml_map& map, std::string_view key);
 
+/// Reads the zone from `availability_zone`, a number, or from `zone_name`, from
+/// which all hosts compute the same number.
+void read_zone_name(yaml_map& map, zone_id& zone, std::string& name);
+
 /// A list of addresses without repetitions.
 std::vector<endpoint> read_addresses(yaml_map& map, std::string_view key, presence need,
                                      finding_sink& sink);
 
+/// A list of addresses of which only the hosts are used when `port_key` gives a port:
+/// ports are the same on all hosts, so that the list may name another service of theirs.
+std::vector<endpoint> read_seeds(yaml_map& map, std::string_view key, std::string_view port_key,
+                                 finding_sink& sink);
+
 enum class path_kind { file, folder };
 
 /// An existing file or folder; a relative path starts at `base`.
--- a/libraries/observe/log_line.cpp
+++ b/libraries/observe/log_line.cpp
@@ -52,10 +52,10 @@
 } // namespace
 
 void start_log(const char* program, log_identity identity) {
-  process_identity() = identity;
+  process_identity() = std::move(identity);
   // The line itself carries time and level, in a form that tools can read.
   FLAGS_log_prefix = false;
-  FLAGS_logtostderr = true;
+  FLAGS_logtostdout = true;
   google::InitGoogleLogging(program);
 }
 
@@ -63,7 +63,9 @@
   const auto& self = process_identity();
   text_ = "level=";
   text_ += name_of(level);
-  with("host", self.host).with("zone", self.zone).with("event", event);
+  with("host", self.name.empty() ? std::to_string(self.host) : self.name);
+  with("zone", self.zone_name.empty() ? std::to_string(self.zone.value) : self.zone_name);
+  with("event", event);
 }
 
 log_line::~log_line() {
