control: a group that forms and repairs itself, and serves packet flows

Hosts that ask are added as learners, learners fill up the voters and replace lost ones. Reports that an upstream leaves are acknowledged when another control host knows of it.

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "flow.pb.h"
 #include "operator.pb.h"
+#include "zinniarelay/control/group_policy.h"
 #include "zinniarelay/core/identifiers.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/result.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
 #include "zinniarelay/replication/log_store.h"
 #include "zinniarelay/replication/raft_node.h"
@@ -25,6 +28,8 @@
   std::uint64_t compaction_entries = 1'000; ///< applied entries between snapshots
   milliseconds status_lifetime{600'000};    ///< a host that is silent for longer is forgotten
   std::size_t peers_in_reply = 16;          ///< entry hosts named in one answer to Sync
+  /// Set for a group that forms and repairs itself (docs/design.md R33).
+  std::optional<group_settings> group;
 };
 
 /// The control role: replicated log, applied state, answers to operators and entry
@@ -82,6 +87,44 @@
   wire::apply_reply unconfirmed_apply() const;
   wire::members_reply unconfirmed_members() const;
 
+  /// Proposes a declaration of packet flows. Answered at once when a version at
+  /// least as high is in force. The caller has checked the declaration.
+  submission<wire::version_reply> apply_version(time_point now, std::uint64_t wall_ms,
+                                                const wire::version_request& request);
+  std::optional<wire::version_reply> version_answer(const ticket& pending) const;
+  wire::version_reply unconfirmed_version() const;
+
+  /// Asks a quorum for the index of the newest acknowledged entry; the leader only.
+  struct read_ticket {
+    std::uint64_t round = 0;
+    std::uint64_t term = 0;
+    std::uint64_t index = 0;
+  };
+  /// No value when this host does not lead or cannot be sure of it.
+  std::optional<read_ticket> begin_read(time_point now);
+  std::optional<wire::read_reply> read_answer(const read_ticket& pending) const;
+
+  /// The declaration of packet flows that this host has applied; version 0 for none.
+  const wire::versioned_declaration& flows() const { return flows_; }
+
+  /// A host outside the group asks to be taken in.
+  wire::join_reply join(time_point now, const wire::join_request& request);
+  /// The request that this host sends while it has no place in a group.
+  std::optional<wire::join_request> join_request_due(time_point now) const;
+  std::vector<std::string> member_addresses(std::uint32_t preferred_zone) const;
+
+  /// A report that an upstream made to this host.
+  upstream_directory::merge_result report(time_point now, const upstream_report& value);
+  const upstream_directory& upstreams() const { return upstreams_; }
+  /// News of upstreams from another control host.
+  wire::spread_reply take_spread(time_point now, const wire::spread_request& request);
+  wire::spread_request spread_since(std::uint64_t position, bool is_complete) const;
+  wire::news_reply news(time_point now, const wire::news_request& request) const;
+  /// True when an entry host should not wait for the answer to its request.
+  bool has_urgent_news(const wire::news_request& request) const;
+  /// Tells this process from an earlier one at the same address.
+  std::uint64_t source() const { return source_; }
+
   wire::diff_reply diff(const wire::apply_request& request) const;
   wire::status_reply status(time_point now) const;
   wire::audit_reply audit(const wire::audit_request& request) const;
@@ -121,6 +164,8 @@
   wire::members_reply members_reply_of(bool is_accepted, const std::string& cause) const;
   void add_known_hosts(time_point now, const wire::sync_request& request, wire::sync_reply& reply);
   void forget_silent_hosts(time_point now);
+  void maintain_group(time_point now);
+  void decode_flows();
 
   control_host_settings settings_;
   log_store store_;
@@ -137,6 +182,11 @@
   std::vector<std::string> complaints_;
   std::optional<error> fault_;
   std::uint64_t sync_count_ = 0;
+  std::uint64_t source_ = 0;
+  std::optional<group_policy> group_;
+  std::uint64_t group_changes_ = 0;
+  wire::versioned_declaration flows_;
+  upstream_directory upstreams_;
 };
 
 } // namespace zinnia
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -96,6 +96,7 @@
   identity.set_control(settings.self.id());
   identity.set_identity(draw_identity(engine));
   identity.set_founder(true);
+  identity.set_zone(settings.self.zone());
   return store.write_identity(identity);
 }
 
@@ -108,6 +109,7 @@
     fresh.set_cluster(settings.cluster);
     fresh.set_control(settings.self.id());
     fresh.set_identity(draw_identity(engine));
+    fresh.set_zone(settings.self.zone());
     ZINNIA_TRY(store.write_identity(fresh));
     stored.identity = fresh;
   }
@@ -126,17 +128,23 @@
     ZINNIA_TRY(state, control_state::decode(snapshot->state()));
     out.state_ = std::move(state);
     out.applied_index_ = snapshot->last_index();
+    out.decode_flows();
   }
   return out;
 }
 
 control_host::control_host(storage& files, const control_host_settings& settings, raft_node node,
                            random_engine engine)
-    : settings_(settings), store_(files), node_(std::move(node)), engine_(engine) {}
+    : settings_(settings), store_(files), node_(std::move(node)), engine_(engine) {
+  source_ = draw_identity(engine_);
+  if (settings_.group) group_.emplace(*settings_.group);
+}
 
 void control_host::tick(time_point now) {
   step(now, raft_tick{});
   forget_silent_hosts(now);
+  upstreams_.forget_old(now);
+  maintain_group(now);
 }
 
 void control_host::receive(time_point now, wire::raft_message message) {
@@ -167,6 +175,7 @@
     state_ = std::move(state.value());
     applied_index_ = effects.restored->last_index();
     entries_since_snapshot_ = 0;
+    decode_flows();
   }
   apply_entries(effects.committed);
   messages_.insert(messages_.end(), effects.messages.begin(), effects.messages.end());
@@ -196,6 +205,7 @@
       continue;
     }
     outcomes_[entry.index()] = {entry.term(), state_.apply(entry.index(), command)};
+    if (command.has_version()) decode_flows();
     if (outcomes_.size() > kept_outcomes) outcomes_.erase(outcomes_.begin());
   }
 }
--- /dev/null
+++ b/libraries/control/control_host_flows.cpp
@@ -0,0 +1,214 @@
+#include "zinniarelay/control/control_host.h"
+
+#include <Poco/DeflatingStream.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <limits>
+#include <sstream>
+#include <xxhash.h>
+
+namespace zinnia {
+namespace {
+
+constexpr const char* group_author = "control group";
+// An entry host that waits for its answer does not poll another control host
+// meanwhile, so that the answer of a cut-off host must say so at once.
+constexpr milliseconds longest_quorum_age{1'000};
+
+std::string compressed(const std::string& content) {
+  std::ostringstream out;
+  Poco::DeflatingOutputStream deflate(out, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+  deflate << content;
+  deflate.close();
+  return out.str();
+}
+
+std::string decompressed(const std::string& content) {
+  std::istringstream in(content);
+  Poco::InflatingInputStream inflate(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
+  std::string out;
+  Poco::StreamCopier::copyToString(inflate, out);
+  return out;
+}
+
+std::uint32_t milliseconds_field(milliseconds age) {
+  constexpr std::int64_t highest = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), highest));
+}
+
+std::string digest_text(const std::string& content) {
+  return std::to_string(XXH64(content.data(), content.size(), 0));
+}
+
+} // namespace
+
+// Declarations of packet flows.
+
+control_host::submission<wire::version_reply>
+control_host::apply_version(time_point now, std::uint64_t wall_ms,
+                            const wire::version_request& request) {
+  submission<wire::version_reply> out;
+  const auto version = request.proposed().declaration().version();
+  // What this host has applied is committed, so that the answer holds on every host.
+  if (version <= state_.flows().version()) {
+    out.answer.emplace().set_result(wire::version_reply::accepted);
+    return out;
+  }
+  if (node_.role() != raft_role::leader) {
+    out.answer.emplace().set_result(wire::version_reply::not_leader);
+    out.answer->set_leader_address(address_of(node_.leader()));
+    return out;
+  }
+  const auto content = request.proposed().SerializeAsString();
+  wire::control_command command;
+  command.set_operation_id("version " + std::to_string(version) + " " + digest_text(content));
+  command.set_author(request.author());
+  command.set_time_ms(wall_ms);
+  command.mutable_version()->set_version(version);
+  command.mutable_version()->set_content(compressed(content));
+  const auto effects = step(now, raft_proposal{command.SerializeAsString()});
+  if (effects.proposed_index)
+    out.pending = {*effects.proposed_index, node_.term(), false};
+  else
+    out.answer = unconfirmed_version();
+  return out;
+}
+
+std::optional<wire::version_reply> control_host::version_answer(const ticket& pending) const {
+  if (fault_) return unconfirmed_version();
+  if (applied_index_ < pending.index) return std::nullopt;
+  const auto it = outcomes_.find(pending.index);
+  if (it == outcomes_.end() || it->second.term != pending.term || !it->second.result.accepted())
+    return unconfirmed_version();
+  wire::version_reply out;
+  out.set_result(wire::version_reply::accepted);
+  return out;
+}
+
+wire::version_reply control_host::unconfirmed_version() const {
+  wire::version_reply out;
+  out.set_result(wire::version_reply::not_confirmed);
+  out.set_leader_address(address_of(node_.leader()));
+  return out;
+}
+
+void control_host::decode_flows() {
+  if (state_.flows().version() == flows_.declaration().version()) return;
+  wire::versioned_declaration next;
+  if (next.ParseFromString(decompressed(state_.flows().content())))
+    flows_ = std::move(next);
+  else
+    complaints_.push_back("the declaration of packet flows of version " +
+                          std::to_string(state_.flows().version()) + " is unreadable");
+}
+
+// Reads that a quorum confirms.
+
+std::optional<control_host::read_ticket> control_host::begin_read(time_point now) {
+  const auto effects = step(now, raft_read{});
+  if (!effects.read_round) return std::nullopt;
+  return read_ticket{*effects.read_round, node_.term(), node_.commit_index()};
+}
+
+std::optional<wire::read_reply> control_host::read_answer(const read_ticket& pending) const {
+  wire::read_reply out;
+  if (fault_ || node_.role() != raft_role::leader || node_.term() != pending.term) return out;
+  if (!node_.is_confirmed(pending.round)) return std::nullopt;
+  out.set_confirmed(true);
+  out.set_index(pending.index);
+  return out;
+}
+
+// The group.
+
+wire::join_reply control_host::join(time_point now, const wire::join_request& request) {
+  if (group_ && node_.role() == raft_role::leader) group_->note_join(now, request.member());
+  wire::join_reply out;
+  out.set_leader_address(address_of(node_.leader()));
+  for (auto& it : member_addresses(request.member().zone()))
+    out.add_control_hosts(std::move(it));
+  return out;
+}
+
+std::optional<wire::join_request> control_host::join_request_due(time_point now) const {
+  if (!group_ || node_.role() == raft_role::leader) return std::nullopt;
+  if (node_.quorum_age(now) <= longest_quorum_age) return std::nullopt;
+  wire::join_request out;
+  *out.mutable_member() = settings_.self;
+  out.mutable_member()->set_identity(node_.identity().identity());
+  out.mutable_member()->set_learner(true);
+  return out;
+}
+
+void control_host::maintain_group(time_point now) {
+  if (!group_ || fault_) return;
+  const auto change = group_->next_change(now, node_);
+  if (!change) return;
+  const auto next = node_.plan(now, *change);
+  // What cannot be done now, for want of a quorum say, is decided on again later.
+  if (!next.has_value()) return;
+  auto command = wire::control_command();
+  command.set_operation_id("group " + std::to_string(source_) + " " +
+                           std::to_string(++group_changes_));
+  command.set_author(group_author);
+  for (const auto& it : node_.membership().members)
+    command.mutable_members()->add_before(it.address());
+  for (const auto& it : next.value().members)
+    command.mutable_members()->add_after(it.address() + (it.learner() ? " learner" : " voter"));
+  step(now, raft_member_proposal{next.value(), command.SerializeAsString()});
+}
+
+std::vector<std::string> control_host::member_addresses(std::uint32_t preferred_zone) const {
+  std::vector<std::string> out;
+  for (const bool is_preferred : {true, false})
+    for (const auto& it : node_.membership().members)
+      if ((it.zone() == preferred_zone) == is_preferred &&
+          std::find(out.begin(), out.end(), it.address()) == out.end())
+        out.push_back(it.address());
+  return out;
+}
+
+// Upstreams.
+
+upstream_directory::merge_result control_host::report(time_point now,
+                                                      const upstream_report& value) {
+  return upstreams_.merge(now, value, upstream_directory::origin::upstream);
+}
+
+wire::spread_reply control_host::take_spread(time_point now, const wire::spread_request& request) {
+  upstreams_.merge(now, request.upstreams());
+  wire::spread_reply out;
+  out.set_source(source_);
+  return out;
+}
+
+wire::spread_request control_host::spread_since(std::uint64_t position, bool is_complete) const {
+  wire::spread_request out;
+  out.set_source(source_);
+  *out.mutable_upstreams() =
+      is_complete ? upstreams_.news_since(0) : upstreams_.own_news_since(position);
+  return out;
+}
+
+wire::news_reply control_host::news(time_point now, const wire::news_request& request) const {
+  wire::news_reply out;
+  out.set_source(source_);
+  out.set_position(upstreams_.position());
+  const auto position = request.source() == source_ ? request.position() : 0;
+  *out.mutable_upstreams() = upstreams_.news_since(position);
+  if (flows_.declaration().version() > request.version())
+    *out.mutable_declaration() = flows_.declaration();
+  out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
+  for (auto& it : member_addresses(request.zone()))
+    out.add_control_hosts(std::move(it));
+  return out;
+}
+
+bool control_host::has_urgent_news(const wire::news_request& request) const {
+  return request.source() != source_ || flows_.declaration().version() > request.version() ||
+         upstreams_.content_position() > request.position();
+}
+
+} // namespace zinnia
--- /dev/null
+++ b/libraries/control/group_policy.cpp
@@ -0,0 +1,115 @@
+#include "zinniarelay/control/group_policy.h"
+
+#include <algorithm>
+
+namespace zinnia {
+namespace {
+
+using kind = member_change::kind;
+
+// A data folder that came later to the address of a member: the member's disk is lost.
+bool is_superseded(const raft_membership& group, const wire::control_member& member) {
+  bool is_past = false;
+  for (const auto& it : group.members) {
+    if (it.id() == member.id())
+      is_past = true;
+    else if (is_past && it.address() == member.address())
+      return true;
+  }
+  return false;
+}
+
+std::size_t voters_in_zone(const raft_membership& group, std::uint32_t zone,
+                           std::uint64_t without) {
+  return static_cast<std::size_t>(
+      std::count_if(group.members.begin(), group.members.end(), [&](const auto& it) {
+        return !it.learner() && it.zone() == zone && it.id() != without;
+      }));
+}
+
+// Learners that could vote at once, those of the least represented zones first.
+std::vector<wire::control_member> ready_learners(const raft_node& node, std::uint64_t without) {
+  std::vector<wire::control_member> out;
+  const auto& group = node.membership();
+  for (const auto& it : group.members)
+    if (it.learner() && !is_superseded(group, it) && node.is_promotable(it.id())) out.push_back(it);
+  std::stable_sort(out.begin(), out.end(), [&](const auto& a, const auto& b) {
+    return voters_in_zone(group, a.zone(), without) < voters_in_zone(group, b.zone(), without);
+  });
+  return out;
+}
+
+member_change change_of(kind action, const wire::control_member& member) {
+  member_change out;
+  out.action = action;
+  out.member = member;
+  return out;
+}
+
+} // namespace
+
+void group_policy::note_join(time_point now, const wire::control_member& host) {
+  joiners_[host.id()] = {host, now};
+}
+
+std::optional<member_change> group_policy::next_change(time_point now, const raft_node& node) {
+  if (node.role() != raft_role::leader || !node.is_membership_settled()) return std::nullopt;
+  if (auto out = replacement(now, node)) return out;
+  if (auto out = promotion(node)) return out;
+  if (auto out = addition(now, node)) return out;
+  return removal(now, node);
+}
+
+std::optional<member_change> group_policy::addition(time_point now, const raft_node& node) {
+  for (auto it = joiners_.begin(); it != joiners_.end();) {
+    const auto& [host, asked] = it->second;
+    const bool is_member = node.membership().find(it->first) != nullptr;
+    if (is_member || now - asked > settings_.join_lifetime) {
+      it = joiners_.erase(it);
+      continue;
+    }
+    return change_of(kind::add_learner, host);
+  }
+  return std::nullopt;
+}
+
+// Voters are added two at a time, because an even number survives no more losses
+// than the odd one below it.
+std::optional<member_change> group_policy::promotion(const raft_node& node) const {
+  const auto wanted = 2 * std::size_t{settings_.tolerated_losses} + 1;
+  if (node.membership().voter_count() + 2 > wanted) return std::nullopt;
+  const auto ready = ready_learners(node, 0);
+  if (ready.size() < 2) return std::nullopt;
+  auto out = change_of(kind::promote, ready[0]);
+  out.also.push_back(ready[1].id());
+  return out;
+}
+
+std::optional<member_change> group_policy::replacement(time_point now,
+                                                       const raft_node& node) const {
+  const auto& group = node.membership();
+  for (const auto& it : group.members) {
+    if (it.learner() || it.id() == node.id()) continue;
+    const bool is_lost =
+        is_superseded(group, it) || node.silence_of(it.id(), now) > settings_.voter_silence;
+    if (!is_lost) continue;
+    const auto ready = ready_learners(node, it.id());
+    if (ready.empty()) continue;
+    auto out = change_of(kind::replace, ready.front());
+    out.replaced = it.id();
+    return out;
+  }
+  return std::nullopt;
+}
+
+std::optional<member_change> group_policy::removal(time_point now, const raft_node& node) const {
+  const auto& group = node.membership();
+  for (const auto& it : group.members) {
+    if (!it.learner()) continue;
+    if (is_superseded(group, it) || node.silence_of(it.id(), now) > settings_.learner_silence)
+      return change_of(kind::remove, it);
+  }
+  return std::nullopt;
+}
+
+} // namespace zinnia
--- a/services/controld/control_server.h
+++ b/services/controld/control_server.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "flow_front.h"
 #include "zinniarelay/control/control_host.h"
+#include "zinniarelay/control/flow_operations.h"
 
 #include <memory>
 #include <string>
@@ -11,13 +13,15 @@
 class control_server {
 public:
   /// Fails with error_kind::io when the address cannot be bound.
-  static result<std::unique_ptr<control_server>> start(control_host host,
-                                                       const std::string& address);
+  static result<std::unique_ptr<control_server>>
+  start(control_host host, const std::string& address, flow_front_settings settings);
 
   virtual ~control_server() = default;
 
   /// Advances time and returns the fault that the process must stop for.
   virtual std::optional<error> tick() = 0;
+  virtual flow_operations& flows() = 0;
+  virtual wire::metrics_reply metrics() = 0;
   virtual void stop() = 0;
 };
 
--- /dev/null
+++ b/services/controld/flow_front.cpp
@@ -0,0 +1,342 @@
+#include "flow_front.h"
+
+#include "peer_link.h"
+#include "spread_link.h"
+#include "zinniarelay/flow/route_table.h"
+#include "zinniarelay/observe/log_line.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace zinnia::controld {
+namespace {
+
+using std::chrono::system_clock;
+
+// Operators and upstreams turn to another control host after a second.
+constexpr milliseconds answer_limit{850};
+constexpr milliseconds forward_deadline{800};
+constexpr milliseconds join_deadline{400};
+constexpr milliseconds join_interval{300};
+constexpr milliseconds link_interval{200};
+constexpr milliseconds longest_news_wait{2'000};
+
+std::uint64_t wall_ms() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+std::string text_of(const std::vector<error>& defects) {
+  std::ostringstream out;
+  for (const auto& it : defects)
+    out << (out.tellp() > 0 ? "; " : "") << it;
+  return out.str();
+}
+
+const char* name_of(upstream_report::state value) {
+  switch (value) {
+  case upstream_report::state::ready:
+    return "ready";
+  case upstream_report::state::draining:
+    return "draining";
+  case upstream_report::state::gone:
+    return "gone";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+flow_front::flow_front(host_state& shared, flow_front_settings settings,
+                       std::function<void()> carry_out)
+    : shared_(shared), settings_(std::move(settings)), carry_out_(std::move(carry_out)) {}
+
+flow_front::~flow_front() {
+  stop();
+}
+
+void flow_front::start() {
+  workers_.emplace_back([this] { run_links(); });
+  workers_.emplace_back([this] { run_joining(); });
+}
+
+void flow_front::stop() {
+  {
+    const std::lock_guard lock(shared_.mutex);
+    is_stopping_ = true;
+  }
+  stopped_.notify_all();
+  news_.notify_all();
+  shared_.changed.notify_all();
+  for (auto& it : workers_)
+    it.join();
+  workers_.clear();
+  links_.clear();
+}
+
+void flow_front::note_progress() {
+  const auto version = shared_.host.flows().declaration().version();
+  if (version == announced_version_) return;
+  announced_version_ = version;
+  log_info("declaration_applied")
+      .with("version", version)
+      .with("routes", shared_.host.flows().declaration().routes_size())
+      .with("applied_index", shared_.host.applied_index());
+  news_.notify_all();
+}
+
+// Connections to other control hosts.
+
+std::shared_ptr<flow_front::stub> flow_front::stub_of(const std::string& address) {
+  const std::lock_guard lock(stub_mutex_);
+  auto& slot = stubs_[address];
+  if (!slot) slot = wire::flow_control::NewStub(open_channel(address));
+  return slot;
+}
+
+// The next call gets a new connection; one that went silent never recovers (P10).
+void flow_front::forget_stub(const std::string& address) {
+  const std::lock_guard lock(stub_mutex_);
+  stubs_.erase(address);
+}
+
+// Declarations.
+
+flow_operations::answer flow_front::apply_version(const wire::versioned_declaration& proposed) {
+  const auto version = proposed.declaration().version();
+  if (const auto defects = flow_declaration_errors(proposed.declaration()); !defects.empty()) {
+    log_warning("declaration_refused").with("version", version).with("cause", text_of(defects));
+    return {outcome::invalid, text_of(defects)};
+  }
+  wire::version_request request;
+  *request.mutable_proposed() = proposed;
+  request.set_author("operator");
+  auto reply = apply_here(request);
+  if (reply.result() == wire::version_reply::not_leader && !reply.leader_address().empty()) {
+    const auto leader = reply.leader_address();
+    grpc::ClientContext context;
+    context.set_deadline(system_clock::now() + forward_deadline);
+    const auto status = stub_of(leader)->ApplyVersion(&context, request, &reply);
+    if (!status.ok()) {
+      reply.set_result(wire::version_reply::not_confirmed);
+      forget_stub(leader);
+    }
+  }
+  const bool is_accepted = reply.result() == wire::version_reply::accepted;
+  log_info("declaration_proposed")
+      .with("version", version)
+      .with("outcome", wire::version_reply::status_Name(reply.result()))
+      .with("leader", reply.leader_address());
+  if (is_accepted) return {outcome::done, ""};
+  return {outcome::unsure, "no quorum has confirmed the declaration in time"};
+}
+
+wire::version_reply flow_front::apply_here(const wire::version_request& request) {
+  std::unique_lock lock(shared_.mutex);
+  const auto submitted = shared_.host.apply_version(monotonic_now(), wall_ms(), request);
+  carry_out_();
+  if (submitted.answer) return *submitted.answer;
+  std::optional<wire::version_reply> out;
+  shared_.changed.wait_for(lock, answer_limit, [&] {
+    out = shared_.host.version_answer(submitted.pending);
+    return out.has_value() || is_stopping_;
+  });
+  return out ? *out : shared_.host.unconfirmed_version();
+}
+
+grpc::Status flow_front::ApplyVersion(grpc::ServerContext* /*context*/,
+                                      const wire::version_request* request,
+                                      wire::version_reply* reply) {
+  *reply = apply_here(*request);
+  return grpc::Status::OK;
+}
+
+// Reads.
+
+wire::read_reply flow_front::read_here() {
+  std::unique_lock lock(shared_.mutex);
+  const auto pending = shared_.host.begin_read(monotonic_now());
+  carry_out_();
+  if (!pending) return {};
+  std::optional<wire::read_reply> out;
+  shared_.changed.wait_for(lock, answer_limit, [&] {
+    out = shared_.host.read_answer(*pending);
+    return out.has_value() || is_stopping_;
+  });
+  return out.value_or(wire::read_reply());
+}
+
+// The index that this host must have applied to know all that was acknowledged.
+wire::read_reply flow_front::read_index() {
+  std::string leader;
+  {
+    const std::lock_guard lock(shared_.mutex);
+    const auto& node = shared_.host.node();
+    if (node.role() != raft_role::leader) leader = shared_.host.address_of(node.leader());
+    if (node.role() != raft_role::leader && leader.empty()) return {};
+  }
+  if (leader.empty()) return read_here();
+  grpc::ClientContext context;
+  context.set_deadline(system_clock::now() + forward_deadline);
+  wire::read_reply reply;
+  if (stub_of(leader)->Read(&context, wire::read_request(), &reply).ok()) return reply;
+  forget_stub(leader);
+  return {};
+}
+
+std::optional<std::string> flow_front::read_document() {
+  const auto until = std::chrono::steady_clock::now() + answer_limit;
+  const auto confirmed = read_index();
+  std::unique_lock lock(shared_.mutex);
+  const auto is_applied = [&] {
+    return shared_.host.applied_index() >= confirmed.index() || is_stopping_;
+  };
+  if (!confirmed.confirmed() || !shared_.changed.wait_until(lock, until, is_applied)) {
+    log_warning("read_unconfirmed").with("applied_index", shared_.host.applied_index());
+    return std::nullopt;
+  }
+  if (shared_.host.flows().declaration().version() == 0) return std::nullopt;
+  return shared_.host.flows().document();
+}
+
+grpc::Status flow_front::Read(grpc::ServerContext* /*context*/,
+                              const wire::read_request* /*request*/, wire::read_reply* reply) {
+  *reply = read_here();
+  return grpc::Status::OK;
+}
+
+// Upstreams.
+
+flow_operations::answer flow_front::report(const upstream_report& value) {
+  using state = upstream_report::state;
+  std::unique_lock lock(shared_.mutex);
+  const auto merged = shared_.host.report(monotonic_now(), value);
+  if (merged == upstream_directory::merge_result::changed) {
+    log_info("upstream_changed")
+        .with("upstream", value.id)
+        .with("started_ms", value.started_ms)
+        .with("sequence", value.sequence)
+        .with("service", value.service)
+        .with("address", value.address)
+        .with("state", name_of(value.condition));
+    news_.notify_all();
+    for (auto& [address, link] : links_)
+      link->wake();
+  }
+  if (value.condition == state::ready) return {outcome::done, ""};
+  // The acknowledgement binds all hosts; it must not die with this one.
+  const auto* held = shared_.host.upstreams().find(value.incarnation());
+  const auto position = held == nullptr ? 0 : held->content_position;
+  const bool is_known = shared_.changed.wait_for(
+      lock, answer_limit, [&] { return is_known_elsewhere(position) || is_stopping_; });
+  if (is_known) return {outcome::done, ""};
+  log_warning("upstream_leave_unconfirmed").with("upstream", value.id);
+  return {outcome::unsure, "no other control host has confirmed the report"};
+}
+
+bool flow_front::is_known_elsewhere(std::uint64_t position) const {
+  if (shared_.host.node().membership().everyone().size() <= 1) return true;
+  return std::any_of(links_.begin(), links_.end(),
+                     [&](const auto& it) { return it.second->confirmed() >= position; });
+}
+
+std::optional<upstream_report> flow_front::known_upstream(const std::string& id) {
+  const std::lock_guard lock(shared_.mutex);
+  const auto* known = shared_.host.upstreams().find_id(id);
+  if (known == nullptr) return std::nullopt;
+  return known->report;
+}
+
+grpc::Status flow_front::Spread(grpc::ServerContext* /*context*/,
+                                const wire::spread_request* request, wire::spread_reply* reply) {
+  const std::lock_guard lock(shared_.mutex);
+  const auto before = shared_.host.upstreams().content_position();
+  *reply = shared_.host.take_spread(monotonic_now(), *request);
+  if (shared_.host.upstreams().content_position() != before) news_.notify_all();
+  return grpc::Status::OK;
+}
+
+grpc::Status flow_front::News(grpc::ServerContext* context, const wire::news_request* request,
+                              wire::news_reply* reply) {
+  std::unique_lock lock(shared_.mutex);
+  const auto wait = std::min(milliseconds(request->wait_ms()), longest_news_wait);
+  news_.wait_for(lock, wait, [&] {
+    return shared_.host.has_urgent_news(*request) || is_stopping_ || context->IsCancelled();
+  });
+  *reply = shared_.host.news(monotonic_now(), *request);
+  return grpc::Status::OK;
+}
+
+void flow_front::run_links() {
+  std::unique_lock lock(shared_.mutex);
+  while (!is_stopping_) {
+    lock.unlock();
+    refresh_links();
+    lock.lock();
+    stopped_.wait_for(lock, link_interval);
+  }
+}
+
+void flow_front::refresh_links() {
+  std::vector<std::unique_ptr<spread_link>> ended; // joined without the lock
+  const std::lock_guard lock(shared_.mutex);
+  const auto members = shared_.host.member_addresses(0);
+  for (const auto& it : members) {
+    if (it == settings_.address || links_.count(it) > 0) continue;
+    links_[it] =
+        std::make_unique<spread_link>(shared_, it, [this] { shared_.changed.notify_all(); });
+  }
+  for (auto it = links_.begin(); it != links_.end();) {
+    if (std::find(members.begin(), members.end(), it->first) != members.end()) {
+      ++it;
+      continue;
+    }
+    ended.push_back(std::move(it->second));
+    it = links_.erase(it);
+  }
+}
+
+// Joining.
+
+grpc::Status flow_front::Join(grpc::ServerContext* /*context*/, const wire::join_request* request,
+                              wire::join_reply* reply) {
+  const std::lock_guard lock(shared_.mutex);
+  *reply = shared_.host.join(monotonic_now(), *request);
+  return grpc::Status::OK;
+}
+
+void flow_front::run_joining() {
+  std::unique_lock lock(shared_.mutex);
+  while (!is_stopping_) {
+    const auto request = shared_.host.join_request_due(monotonic_now());
+    if (request) {
+      auto targets = settings_.seeds;
+      for (auto& it : shared_.host.member_addresses(0))
+        targets.push_back(std::move(it));
+      lock.unlock();
+      std::vector<std::string> asked{settings_.address};
+      for (std::size_t n = 0; n < targets.size(); ++n) {
+        if (std::find(asked.begin(), asked.end(), targets[n]) != asked.end()) continue;
+        asked.push_back(targets[n]);
+        const auto reply = ask_to_join(targets[n], *request);
+        if (!reply) continue;
+        if (!reply->leader_address().empty()) targets.push_back(reply->leader_address());
+      }
+      lock.lock();
+    }
+    if (is_stopping_) return;
+    stopped_.wait_for(lock, join_interval);
+  }
+}
+
+std::optional<wire::join_reply> flow_front::ask_to_join(const std::string& address,
+                                                        const wire::join_request& request) {
+  grpc::ClientContext context;
+  context.set_deadline(system_clock::now() + join_deadline);
+  wire::join_reply reply;
+  if (stub_of(address)->Join(&context, request, &reply).ok()) return reply;
+  forget_stub(address);
+  return std::nullopt;
+}
+
+} // namespace zinnia::controld
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -1,6 +1,10 @@
 #include "control_server.h"
+#include "platform/operator_api.h"
 #include "zinniarelay/config/control_settings.h"
+#include "zinniarelay/control/group_identity.h"
+#include "zinniarelay/http/http_server.h"
 #include "zinniarelay/observe/log_line.h"
+#include "zinniarelay/observe/metrics_text.h"
 #include "zinniarelay/replication/file_storage.h"
 
 #include <CLI/CLI.hpp>
@@ -20,6 +24,7 @@
 }
 
 int report(const error& value) {
+  log_error("control_host_failed").with(value);
   std::cerr << "zinnia-controld: " << value << std::endl;
   return 1;
 }
@@ -29,6 +34,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGINT);
   sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGHUP);
   return set;
 }
 
@@ -46,10 +52,51 @@
   out.cluster = settings.cluster();
   for (const auto& it : settings.founding_members())
     out.founders.push_back(member_of(it.id, it.address, it.zone));
+  if (settings.group()) {
+    out.group.emplace();
+    out.group->tolerated_losses = settings.group()->tolerated_losses;
+  }
+  return out;
+}
+
+controld::flow_front_settings front_settings_of(const control_settings& settings) {
+  controld::flow_front_settings out;
+  out.address = settings.address().to_string();
+  if (!settings.group()) return out;
+  for (const auto& it : settings.group()->seeds)
+    out.seeds.push_back(it.to_string());
+  return out;
+}
+
+/// The HTTP servers of a control host.
+struct http_servers {
+  std::unique_ptr<http_server> operators;
+  std::unique_ptr<http_server> metrics;
+};
+
+result<http_servers> start_http(const control_settings& settings,
+                                controld::control_server& server) {
+  http_servers out;
+  if (settings.operator_address()) {
+    const auto handle = [&server](const http_request& request) {
+      return platform::operator_api(server.flows()).handle(request);
+    };
+    ZINNIA_TRY(operators, http_server::create(*settings.operator_address(), handle, {}));
+    out.operators = std::move(operators);
+  }
+  if (settings.metrics_address()) {
+    const auto handle = [&server](const http_request& /*request*/) {
+      return http_response{200, "text/plain", metrics_text(server.metrics())};
+    };
+    http_server::limits bounds;
+    bounds.threads = 2;
+    ZINNIA_TRY(metrics, http_server::create(*settings.metrics_address(), handle, bounds));
+    out.metrics = std::move(metrics);
+  }
   return out;
 }
 
-int serve(const control_host_settings& settings, storage& files) {
+int serve(const control_settings& given, const control_host_settings& settings, storage& files) {
   // Blocked before any thread starts, so that only the loop below receives them.
   const auto signals = stop_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -58,13 +105,19 @@
   if (host.value().cut_bytes() > 0)
     log_warning("incomplete_append_cut").with("bytes", host.value().cut_bytes());
   const auto& address = settings.self.address();
-  auto server = controld::control_server::start(std::move(host.value()), address);
+  auto server =
+      controld::control_server::start(std::move(host.value()), address, front_settings_of(given));
   if (!server.has_value()) return report(server.error());
+  auto http = start_http(given, *server.value());
+  if (!http.has_value()) return report(http.error());
   log_info("control_host_started").with("address", address);
   const timespec interval{0, std::chrono::nanoseconds(tick_interval).count()};
-  while (sigtimedwait(&signals, nullptr, &interval) < 0)
+  for (int signal = 0; signal != SIGINT && signal != SIGTERM;) {
+    signal = sigtimedwait(&signals, nullptr, &interval);
     if (const auto fault = server.value()->tick()) return report(*fault);
+  }
   log_info("control_host_stopping");
+  http.value() = {};
   server.value()->stop();
   return 0;
 }
@@ -94,12 +147,18 @@
     return 0;
   }
   start_log("zinnia-controld",
-            {settings.value().control().value, settings.value().availability_zone()});
-  const auto host_settings = host_settings_of(settings.value());
+            {settings.value().control().value, settings.value().availability_zone(),
+             settings.value().name(), settings.value().zone_name()});
+  auto host_settings = host_settings_of(settings.value());
   auto files = file_storage::open(settings.value().data_folder().string());
   if (!files.has_value()) return report(files.error());
-  if (!is_founding) return serve(host_settings, files.value());
   auto engine = seeded_engine();
+  if (const auto& group = settings.value().group()) {
+    const auto assigned =
+        assign_identity(files.value(), host_settings, group->seeds, group->is_first_start, engine);
+    if (!assigned.has_value()) return report(assigned.error());
+  }
+  if (!is_founding) return serve(settings.value(), host_settings, files.value());
   const auto founded = control_host::initialize(files.value(), host_settings, engine);
   if (!founded.has_value()) return report(founded.error());
   std::cout << "founded cluster " << host_settings.cluster << " in "
--- /dev/null
+++ b/services/controld/peer_link.cpp
@@ -0,0 +1,81 @@
+#include "peer_link.h"
+
+namespace zinnia::controld {
+namespace {
+
+constexpr milliseconds exchange_deadline{500};
+constexpr std::size_t max_queued_messages = 64;
+// After this many calls without an answer the connection counts as silent (P10).
+constexpr int silent_after_failures = 3;
+
+} // namespace
+
+std::shared_ptr<grpc::Channel> open_channel(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+peer_link::peer_link(std::string address, answer_handler on_answer)
+    : address_(std::move(address)), on_answer_(std::move(on_answer)), worker_([this] { run(); }) {}
+
+peer_link::~peer_link() {
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
+  }
+  changed_.notify_all();
+  worker_.join();
+}
+
+void peer_link::send(wire::raft_message message) {
+  const std::lock_guard lock(mutex_);
+  // Later messages repeat what earlier ones said, so that the oldest can go.
+  if (queue_.size() == max_queued_messages) queue_.pop_front();
+  queue_.push_back({std::move(message), monotonic_now()});
+  changed_.notify_all();
+}
+
+void peer_link::connect() {
+  stub_ = wire::replication::NewStub(open_channel(address_));
+}
+
+bool peer_link::exchange(const wire::raft_message& message) {
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + exchange_deadline);
+  wire::raft_message answer;
+  const auto status = stub_->Exchange(&context, message, &answer);
+  if (!status.ok()) return false;
+  if (answer.from() != 0) on_answer_(std::move(answer));
+  return true;
+}
+
+void peer_link::run() {
+  connect();
+  int failures = 0;
+  std::unique_lock lock(mutex_);
+  while (!is_stopping_) {
+    if (queue_.empty()) {
+      changed_.wait(lock);
+      continue;
+    }
+    const auto [message, queued] = std::move(queue_.front());
+    queue_.pop_front();
+    // The contact to a quorum that a message reports would look more recent
+    // than it is after a wait for a silent member.
+    if (monotonic_now() - queued > exchange_deadline) continue;
+    lock.unlock();
+    failures = exchange(message) ? 0 : failures + 1;
+    if (failures == silent_after_failures) {
+      connect();
+      failures = 0;
+    }
+    lock.lock();
+  }
+}
+
+} // namespace zinnia::controld
--- /dev/null
+++ b/services/controld/peer_link.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "control.grpc.pb.h"
+#include "zinniarelay/core/time.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <grpcpp/grpcpp.h>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace zinnia::controld {
+
+/// A connection of its own to a control host, without gRPC's retries. A shared pool
+/// would hand a silent connection out again.
+std::shared_ptr<grpc::Channel> open_channel(const std::string& address);
+
+/// Sends messages to one member, in order and one at a time.
+class peer_link {
+public:
+  using answer_handler = std::function<void(wire::raft_message)>;
+
+  peer_link(std::string address, answer_handler on_answer);
+  peer_link(const peer_link&) = delete;
+  peer_link& operator=(const peer_link&) = delete;
+  ~peer_link();
+
+  const std::string& address() const { return address_; }
+  void send(wire::raft_message message);
+
+private:
+  struct queued_message {
+    wire::raft_message message;
+    time_point queued;
+  };
+
+  void connect();
+  bool exchange(const wire::raft_message& message);
+  void run();
+
+  std::string address_;
+  answer_handler on_answer_;
+  std::unique_ptr<wire::replication::Stub> stub_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<queued_message> queue_;
+  bool is_stopping_ = false;
+  std::thread worker_;
+};
+
+} // namespace zinnia::controld
--- /dev/null
+++ b/services/controld/spread_link.cpp
@@ -0,0 +1,70 @@
+#include "spread_link.h"
+
+#include "peer_link.h"
+
+namespace zinnia::controld {
+namespace {
+
+// Refreshes of many upstreams share one message.
+constexpr milliseconds batch_interval{250};
+constexpr milliseconds spread_deadline{700};
+constexpr milliseconds retry_interval{200};
+
+} // namespace
+
+spread_link::spread_link(host_state& shared, std::string address,
+                         std::function<void()> on_confirmed)
+    : shared_(shared), address_(std::move(address)), on_confirmed_(std::move(on_confirmed)),
+      worker_([this] { run(); }) {}
+
+spread_link::~spread_link() {
+  {
+    const std::lock_guard lock(shared_.mutex);
+    is_stopping_ = true;
+  }
+  changed_.notify_all();
+  worker_.join();
+}
+
+void spread_link::run() {
+  std::unique_lock lock(shared_.mutex);
+  while (!is_stopping_) {
+    const auto& upstreams = shared_.host.upstreams();
+    if (upstreams.content_position() <= confirmed_) changed_.wait_for(lock, batch_interval);
+    if (is_stopping_) return;
+    if (upstreams.position() == confirmed_ && peer_source_ != 0) continue;
+    const auto position = upstreams.position();
+    const bool is_complete = peer_source_ == 0;
+    const auto request = shared_.host.spread_since(confirmed_, is_complete);
+    if (!is_complete && request.upstreams().reports().empty() &&
+        request.upstreams().refreshed().empty()) {
+      confirmed_ = position;
+      continue;
+    }
+    lock.unlock();
+    wire::spread_reply reply;
+    const bool is_sent = send(request, reply);
+    lock.lock();
+    if (!is_sent) {
+      changed_.wait_for(lock, retry_interval);
+      continue;
+    }
+    // A process that has restarted knows nothing of what the earlier one confirmed.
+    const bool is_same = is_complete || reply.source() == peer_source_;
+    peer_source_ = is_same ? reply.source() : 0;
+    confirmed_ = is_same ? position : 0;
+    on_confirmed_();
+  }
+}
+
+bool spread_link::send(const wire::spread_request& request, wire::spread_reply& reply) {
+  if (!stub_) stub_ = wire::flow_control::NewStub(open_channel(address_));
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + spread_deadline);
+  if (stub_->Spread(&context, request, &reply).ok()) return true;
+  // A connection that went silent never recovers by itself (P10).
+  stub_.reset();
+  return false;
+}
+
+} // namespace zinnia::controld
