platform: the whole path on the users' machines

zinnia-flowd on entry hosts, zinnia-controld on control hosts; platform/ holds the formats and calls.

--- /dev/null
+++ b/services/flowd/flow_daemon.cpp
@@ -0,0 +1,184 @@
+#include "flow_daemon.h"
+
+#include "platform/operator_api.h"
+#include "zinniarelay/observe/log_line.h"
+#include "zinniarelay/observe/metrics_text.h"
+
+namespace zinnia::flowd {
+namespace {
+
+constexpr std::uint32_t lines_per_second = 100;
+constexpr milliseconds publish_interval{1'000};
+constexpr std::uint32_t confirmed_quorum_ms = 1'500;
+constexpr milliseconds end_margin{1'000}; // before the forced end
+constexpr std::string_view metrics_path = "/metrics";
+
+flow_router_settings router_settings(const flow_settings& settings) {
+  flow_router_settings out;
+  out.zone = settings.zone_name();
+  // Three reports in a row are missing.
+  out.report_silence = settings.report_interval() * 3 + milliseconds(500);
+  return out;
+}
+
+readiness::settings readiness_settings(const flow_settings& settings) {
+  readiness::settings out;
+  out.grace = std::max(settings.stop_grace() - end_margin, out.rotation);
+  return out;
+}
+
+} // namespace
+
+flow_daemon::flow_daemon(const flow_settings& settings, random_engine engine)
+    : settings_(settings), router_(router_settings(settings), engine),
+      readiness_(readiness_settings(settings), monotonic_now()), line_budget_(lines_per_second),
+      upstream_wait_(metrics_.distribution_of("flow_answer_wait_ms")) {}
+
+result<std::unique_ptr<flow_daemon>> flow_daemon::create(const flow_settings& settings,
+                                                         random_engine engine) {
+  std::unique_ptr<flow_daemon> out(new flow_daemon(settings, engine));
+  ZINNIA_TRY(out->bind());
+  return out;
+}
+
+result<void> flow_daemon::bind() {
+  ZINNIA_TRY(socket, packet_socket::create(settings_.packet_address()));
+  socket_ = std::move(socket);
+  const auto handle = [this](const http_request& request) { return answer(request); };
+  http_server::limits bounds;
+  bounds.threads = 4;
+  ZINNIA_TRY(ready, http_server::create(settings_.ready_address(), handle, bounds));
+  ready_server_ = std::move(ready);
+  if (settings_.metrics_address()) {
+    ZINNIA_TRY(metrics, http_server::create(*settings_.metrics_address(), handle, bounds));
+    metrics_server_ = std::move(metrics);
+  }
+  std::vector<std::string> seeds;
+  for (const auto& it : settings_.control_hosts())
+    seeds.push_back(it.to_string());
+  news_ = std::make_unique<news_client>(
+      news_client::identity{settings_.name(), settings_.availability_zone().value},
+      std::move(seeds));
+  return success();
+}
+
+http_response flow_daemon::answer(const http_request& request) {
+  if (request.path == metrics_path) return {200, "text/plain", metrics_text(metrics_.report())};
+  if (!platform::is_ready_request(request)) return {404, "text/plain", "no such call"};
+  return is_ready_ ? http_response{200, "text/plain", "ready"}
+                   : http_response{503, "text/plain", "not ready"};
+}
+
+void flow_daemon::run(const std::atomic<bool>& stop) {
+  while (true) {
+    const auto count = socket_->receive();
+    const auto now = monotonic_now();
+    take_news(now);
+    if (count > 0) take_packets(now, count);
+    router_.tick(now);
+    if (now >= next_publish_) publish(now);
+    if (stop && !readiness_.is_stopping()) {
+      readiness_.stop(now);
+      is_ready_ = false;
+      log_info("stopping").with("open_flows", router_.flows().size());
+    }
+    if (readiness_.may_end(now, last_packet_)) break;
+  }
+  log_info("stopped").with("open_flows", router_.flows().size());
+}
+
+void flow_daemon::take_news(time_point now) {
+  for (const auto& it : news_->take()) {
+    router_.learn(now, it.upstreams());
+    if (it.has_declaration()) {
+      const bool is_confirmed = it.quorum_age_ms() <= confirmed_quorum_ms;
+      const bool has_declaration = router_.routes().version() > 0;
+      if (readiness_.is_acceptable(now, is_confirmed, has_declaration) &&
+          router_.apply(it.declaration()))
+        log_info("declaration_in_force")
+            .with("version", it.declaration().version())
+            .with("routes", it.declaration().routes_size())
+            .with("source", it.source())
+            .with("quorum_age_ms", it.quorum_age_ms());
+    }
+    news_->set_version(router_.routes().version());
+  }
+  readiness_.set_serving(router_.routes().version() > 0, router_.upstreams().size() > 0);
+  if (readiness_.is_ready() == is_ready_) return;
+  is_ready_ = readiness_.is_ready();
+  log_info(is_ready_ ? "ready" : "not_ready")
+      .with("version", router_.routes().version())
+      .with("upstreams", router_.upstreams().size());
+}
+
+void flow_daemon::take_packets(time_point now, std::size_t count) {
+  last_packet_ = now;
+  reset_count_ = 0;
+  for (std::size_t n = 0; n < count; ++n)
+    take_packet(now, n);
+  unsent_ += socket_->flush();
+}
+
+void flow_daemon::take_packet(time_point now, std::size_t n) {
+  const auto packet = socket_->received(n);
+  const auto head = platform::decode_head(packet);
+  if (!head) {
+    ++malformed_;
+    return;
+  }
+  const auto decision = router_.route(now, *head);
+  log_decision(now, *head, decision);
+  if (decision.what == flow_decision::action::reset) return reset(*head);
+  if (decision.what != flow_decision::action::forward) return;
+  const auto number = platform::id_number(*decision.id);
+  if (!number) return;
+  platform::write_route_tag(packet, decision.route_tag);
+  const auto bytes = socket_->received_with_headroom(n);
+  platform::write_prefix(bytes.first<platform::prefix_size>(), *number);
+  socket_->queue(decision.to, bytes);
+}
+
+// Callers receive at the port of the packet address, whatever port they name.
+void flow_daemon::reset(const packet_head& head) {
+  auto& buffer = resets_[reset_count_++];
+  buffer = platform::encode_reset(head.key(), head.acknowledged);
+  socket_->queue({head.source.address, settings_.packet_address().port}, buffer);
+}
+
+void flow_daemon::log_decision(time_point now, const packet_head& head,
+                               const flow_decision& decision) {
+  using reason = flow_decision::reason;
+  if (decision.why == reason::routed || !line_budget_.take(now)) return;
+  log_line line(decision.what == flow_decision::action::forward ? log_level::info
+                                                                : log_level::warning,
+                name_of(decision.why));
+  line.with("caller", head.source).with("service_address", head.destination);
+  line.with("copies", head.acknowledged).with("version", router_.routes().version());
+  if (decision.id == nullptr) {
+    line.with("tag", head.route_tag);
+    return;
+  }
+  const auto* upstream = router_.upstreams().find_tag(decision.route_tag);
+  line.with("upstream", *decision.id).with("address", decision.to);
+  if (upstream == nullptr) return;
+  const auto age = std::chrono::duration_cast<milliseconds>(now - upstream->heard);
+  line.with("open_flows", router_.flows().open_of(upstream->report.incarnation()))
+      .with("report_age_ms", age.count());
+}
+
+void flow_daemon::publish(time_point now) {
+  next_publish_ = now + publish_interval;
+  for (std::size_t n = 0; n < flow_decision::reason_count; ++n) {
+    const auto why = static_cast<flow_decision::reason>(n);
+    metrics_.gauge_of("packets", std::string("decision=") + name_of(why))
+        .set(static_cast<double>(router_.count_of(why)));
+  }
+  metrics_.gauge_of("packets_malformed").set(static_cast<double>(malformed_));
+  metrics_.gauge_of("packets_unsent").set(static_cast<double>(unsent_));
+  metrics_.gauge_of("open_flows").set(static_cast<double>(router_.flows().size()));
+  metrics_.gauge_of("upstreams").set(static_cast<double>(router_.upstreams().size()));
+  metrics_.gauge_of("declaration_version").set(static_cast<double>(router_.routes().version()));
+  metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(line_budget_.dropped()));
+}
+
+} // namespace zinnia::flowd
--- /dev/null
+++ b/services/flowd/flow_daemon.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "news_client.h"
+#include "packet_socket.h"
+#include "platform/packet_codec.h"
+#include "zinniarelay/config/flow_settings.h"
+#include "zinniarelay/flow/flow_router.h"
+#include "zinniarelay/flow/readiness.h"
+#include "zinniarelay/http/http_server.h"
+#include "zinniarelay/observe/line_budget.h"
+#include "zinniarelay/observe/metric_registry.h"
+
+#include <array>
+#include <atomic>
+#include <memory>
+
+namespace zinnia::flowd {
+
+/// Carries the packets of callers to upstreams, and learns from control hosts where
+/// they go.
+class flow_daemon {
+public:
+  /// Fails with error_kind::io when an address cannot be bound.
+  static result<std::unique_ptr<flow_daemon>> create(const flow_settings& settings,
+                                                     random_engine engine);
+
+  /// Runs until a stop was asked for and the callers' packets go elsewhere.
+  void run(const std::atomic<bool>& stop);
+
+private:
+  flow_daemon(const flow_settings& settings, random_engine engine);
+
+  result<void> bind();
+  void take_news(time_point now);
+  void take_packets(time_point now, std::size_t count);
+  void take_packet(time_point now, std::size_t n);
+  void reset(const packet_head& head);
+  void log_decision(time_point now, const packet_head& head, const flow_decision& decision);
+  void publish(time_point now);
+  http_response answer(const http_request& request);
+
+  flow_settings settings_;
+  flow_router router_;
+  readiness readiness_;
+  std::atomic<bool> is_ready_{false};
+  line_budget line_budget_;
+  metric_registry metrics_;
+  distribution& upstream_wait_;
+  std::unique_ptr<packet_socket> socket_;
+  std::unique_ptr<news_client> news_;
+  std::unique_ptr<http_server> ready_server_;
+  std::unique_ptr<http_server> metrics_server_;
+  std::array<std::array<std::byte, platform::head_size>, packet_socket::batch> resets_{};
+  std::size_t reset_count_ = 0;
+  time_point last_packet_;
+  time_point next_publish_;
+  std::uint64_t malformed_ = 0;
+  std::uint64_t unsent_ = 0;
+};
+
+} // namespace zinnia::flowd
--- /dev/null
+++ b/services/flowd/packet_socket.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "zinniarelay/core/endpoint.h"
+#include "zinniarelay/core/result.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <netinet/in.h>
+#include <span>
+#include <sys/socket.h>
+#include <vector>
+
+namespace zinnia::flowd {
+
+/// A UDP socket that receives and sends several datagrams with one system call.
+class packet_socket {
+public:
+  static constexpr std::size_t batch = 32;
+  static constexpr std::size_t largest = 2'048; ///< bytes of a datagram
+
+  /// Fails with error_kind::io when the address cannot be bound.
+  static result<std::unique_ptr<packet_socket>> create(const endpoint& address);
+
+  packet_socket(const packet_socket&) = delete;
+  packet_socket& operator=(const packet_socket&) = delete;
+  ~packet_socket() = default;
+
+  /// Waits for datagrams and returns how many arrived; 0 after the timeout.
+  std::size_t receive();
+  /// A received datagram with `headroom` writable bytes before it.
+  std::span<std::byte> received(std::size_t n) {
+    return std::span(buffers_[n]).subspan(headroom, lengths_[n]);
+  }
+  std::span<std::byte> received_with_headroom(std::size_t n) {
+    return std::span(buffers_[n]).first(headroom + lengths_[n]);
+  }
+
+  /// Queues a datagram; the bytes must stay until flush().
+  void queue(const endpoint& to, std::span<const std::byte> bytes);
+  /// Sends what is queued; returns how many datagrams the system did not take.
+  std::size_t flush();
+
+  static constexpr std::size_t headroom = 8;
+
+private:
+  packet_socket() = default;
+
+  Poco::Net::DatagramSocket socket_;
+  std::array<std::array<std::byte, headroom + largest>, batch> buffers_{};
+  std::array<std::size_t, batch> lengths_{};
+  std::array<sockaddr_in, batch> receivers_{};
+  std::array<iovec, batch> parts_{};
+  std::array<mmsghdr, batch> messages_{};
+  std::size_t queued_ = 0;
+};
+
+} // namespace zinnia::flowd
