control: no call into gRPC under the control host's mutex

Ruled out: processor (0.013 of a core), the disk, slow members (exchanges took under 10 ms until one side waited). Ticks waited up to 702 ms for the mutex on all four hosts at once: ServerContext::IsCancelled(), asked by the waiting News calls while they held the mutex, drives gRPC's completion queue.

Change: News does not ask for cancellation. Its wait is bounded. Log lines are flushed line by line, so that a killed process leaves its last ones.

--- a/libraries/observe/log_line.cpp
+++ b/libraries/observe/log_line.cpp
@@ -56,6 +56,8 @@
   // The line itself carries time and level, in a form that tools can read.
   FLAGS_log_prefix = false;
   FLAGS_logtostdout = true;
+  // glog flushes only standard error; a killed process would take its last lines with it.
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   google::InitGoogleLogging(program);
 }
 
--- a/services/controld/flow_front.cpp
+++ b/services/controld/flow_front.cpp
@@ -256,12 +256,12 @@
   return grpc::Status::OK;
 }
 
-grpc::Status flow_front::News(grpc::ServerContext* context, const wire::news_request* request,
+grpc::Status flow_front::News(grpc::ServerContext* /*context*/, const wire::news_request* request,
                               wire::news_reply* reply) {
   std::unique_lock lock(shared_.mutex);
   const auto wait = std::min(milliseconds(request->wait_ms()), longest_news_wait);
   news_.wait_for(lock, wait, [&] {
-    return shared_.host.has_urgent_news(*request) || is_stopping_ || context->IsCancelled();
+    return shared_.host.has_urgent_news(*request) || is_stopping_;
   });
   *reply = shared_.host.news(monotonic_now(), *request);
   return grpc::Status::OK;
