flow: ended flows are not counted as open; a used port opens a new flow

Cause: the caller's last packets arrive after its end and added the flow to the table again, until the idle timeout of 15 s. Counts of open flows grew with each ended flow (243 at the stop of a host), so that the choice of upstream followed noise. The same leftovers answered for a new flow from a used port: its opening packet was taken for a repeated one and went to the upstream of the earlier flow, which was draining by then.

Ruled out: lost news (the other hosts had the drain, no host had lost its control host), a refresh overtaking the drain (test).

Change: an ended flow stays closed for its last packets; an opening packet repeats an earlier one only while that flow is unanswered, and only to an upstream that is ready. Lost and regained links between control hosts are logged.

--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -87,6 +87,7 @@
   };
 
   flow_decision open(time_point now, const packet_head& head);
+  static bool is_opening(time_point now, const flow_table::flow& it);
   flow_decision carry(time_point now, const packet_head& head);
   flow_decision forward(const upstream_directory::entry& to, flow_decision::reason why) const;
   const upstream_directory::entry* choose(time_point now, const std::string& service,
--- a/include/zinniarelay/flow/flow_table.h
+++ b/include/zinniarelay/flow/flow_table.h
@@ -20,12 +20,15 @@
     time_point seen;
     std::uint32_t copies = 0; ///< of the opening packet, sent so far
     bool is_answered = false; ///< the caller has heard from the upstream
+    bool is_closed = false;   ///< kept for the last packets, which arrive after the end
   };
 
   /// The flow, or null.
   flow* find(const flow_key& key);
-  /// Adds a flow, or moves a known one to another upstream.
-  flow& assign(time_point now, const flow_key& key, std::uint64_t upstream);
+  /// Adds a flow, replaces a closed one, or moves a known one to another upstream.
+  flow& open(time_point now, const flow_key& key, std::uint64_t upstream);
+  /// Notes a packet of a flow, which is added when it is not known.
+  flow& touch(time_point now, const flow_key& key, std::uint64_t upstream);
   void close(const flow_key& key);
   /// Drops the flows without a packet for the given time.
   void expire(time_point now, milliseconds unanswered, milliseconds idle);
@@ -35,7 +38,7 @@
   std::size_t size() const { return flows_.size(); }
 
 private:
-  void count(std::uint64_t upstream, int change);
+  void drop_count(const flow& it);
 
   absl::flat_hash_map<flow_key, flow, std::hash<flow_key>> flows_;
   std::unordered_map<std::uint64_t, std::uint32_t> open_;
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -33,6 +33,12 @@
   return out;
 }
 
+// A caller may use a port again. What an earlier flow of the port left behind must
+// not draw the new one to an upstream that is leaving by now.
+bool flow_router::is_opening(time_point now, const flow_table::flow& it) {
+  return !it.is_closed && !it.is_answered && now - it.opened <= opening_timeout;
+}
+
 flow_decision flow_router::open(time_point now, const packet_head& head) {
   if (routes_.version() == 0) return {action::drop, reason::not_ready, {}, nullptr, 0};
   const auto* route = routes_.find(head.destination);
@@ -40,20 +46,21 @@
   const auto key = head.key();
   std::uint64_t avoided = 0;
   auto why = reason::opened;
-  if (auto* known = flows_.find(key)) {
+  if (const auto* known = flows_.find(key); known != nullptr && is_opening(now, *known)) {
     const auto* held = upstreams_.find(known->upstream);
     // A copy of the network's making goes where the first packet went.
-    if (head.acknowledged <= known->copies && held != nullptr)
-      return forward(*held, reason::reopened);
+    const bool is_ready =
+        held != nullptr && held->report.condition == upstream_report::state::ready;
+    if (head.acknowledged <= known->copies && is_ready) return forward(*held, reason::reopened);
     // The caller has waited in vain; the upstream is full, cut off or dead.
-    if (!known->is_answered) note_silence(now, known->upstream);
+    if (head.acknowledged > known->copies) note_silence(now, known->upstream);
     avoided = known->upstream;
     why = reason::moved;
   }
   const auto& service = route->service_of(std::hash<flow_key>{}(key));
   const auto* chosen = choose(now, service, avoided);
   if (chosen == nullptr) return {action::reset, reason::no_upstream, {}, nullptr, 0};
-  auto& flow = flows_.assign(now, key, chosen->report.incarnation());
+  auto& flow = flows_.open(now, key, chosen->report.incarnation());
   flow.copies = head.acknowledged;
   return forward(*chosen, why);
 }
@@ -67,7 +74,7 @@
     to = known == nullptr ? nullptr : upstreams_.find(known->upstream);
   } else {
     const auto upstream = to->report.incarnation();
-    auto& flow = flows_.assign(now, key, upstream);
+    auto& flow = flows_.touch(now, key, upstream);
     if (!flow.is_answered) {
       flow.is_answered = true;
       note_answer(now, upstream);
--- a/libraries/flow/flow_table.cpp
+++ b/libraries/flow/flow_table.cpp
@@ -7,34 +7,39 @@
   return it == flows_.end() ? nullptr : &it->second;
 }
 
-flow_table::flow& flow_table::assign(time_point now, const flow_key& key, std::uint64_t upstream) {
+flow_table::flow& flow_table::open(time_point now, const flow_key& key, std::uint64_t upstream) {
   auto& it = flows_[key];
-  if (it.upstream != upstream) {
-    if (it.upstream != 0) count(it.upstream, -1);
-    count(upstream, 1);
-    it = {};
-    it.upstream = upstream;
-    it.opened = now;
-  }
-  it.seen = now;
+  drop_count(it);
+  it = {};
+  it.upstream = upstream;
+  it.opened = it.seen = now;
+  ++open_[upstream];
   return it;
 }
 
+flow_table::flow& flow_table::touch(time_point now, const flow_key& key, std::uint64_t upstream) {
+  auto* known = find(key);
+  if (known == nullptr || known->upstream != upstream) return open(now, key, upstream);
+  known->seen = now;
+  return *known;
+}
+
 void flow_table::close(const flow_key& key) {
-  const auto it = flows_.find(key);
-  if (it == flows_.end()) return;
-  count(it->second.upstream, -1);
-  flows_.erase(it);
+  auto* it = find(key);
+  if (it == nullptr) return;
+  drop_count(*it);
+  it->is_closed = true;
 }
 
 void flow_table::expire(time_point now, milliseconds unanswered, milliseconds idle) {
   for (auto it = flows_.begin(); it != flows_.end();) {
-    const auto limit = it->second.is_answered ? idle : unanswered;
-    if (now - it->second.seen <= limit) {
+    const auto& flow = it->second;
+    const auto limit = flow.is_answered && !flow.is_closed ? idle : unanswered;
+    if (now - flow.seen <= limit) {
       ++it;
       continue;
     }
-    count(it->second.upstream, -1);
+    drop_count(flow);
     flows_.erase(it++);
   }
 }
@@ -44,10 +49,10 @@
   return it == open_.end() ? 0 : it->second;
 }
 
-void flow_table::count(std::uint64_t upstream, int change) {
-  const auto it = open_.try_emplace(upstream, 0).first;
-  it->second += static_cast<std::uint32_t>(change);
-  if (it->second == 0) open_.erase(it);
+void flow_table::drop_count(const flow& it) {
+  if (it.upstream == 0 || it.is_closed) return;
+  const auto held = open_.find(it.upstream);
+  if (--held->second == 0) open_.erase(held);
 }
 
 } // namespace zinnia
--- a/services/controld/flow_front.cpp
+++ b/services/controld/flow_front.cpp
@@ -260,9 +260,8 @@
                               wire::news_reply* reply) {
   std::unique_lock lock(shared_.mutex);
   const auto wait = std::min(milliseconds(request->wait_ms()), longest_news_wait);
-  news_.wait_for(lock, wait, [&] {
-    return shared_.host.has_urgent_news(*request) || is_stopping_;
-  });
+  news_.wait_for(lock, wait,
+                 [&] { return shared_.host.has_urgent_news(*request) || is_stopping_; });
   *reply = shared_.host.news(monotonic_now(), *request);
   return grpc::Status::OK;
 }
--- a/services/controld/peer_link.cpp
+++ b/services/controld/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "peer_link.h"
 
+#include "zinniarelay/observe/log_line.h"
+
 namespace zinnia::controld {
 namespace {
 
@@ -69,10 +71,13 @@
     // than it is after a wait for a silent member.
     if (monotonic_now() - queued > exchange_deadline) continue;
     lock.unlock();
+    const bool was_lost = failures > 0;
     failures = exchange(message) ? 0 : failures + 1;
+    if (failures == 1 && !was_lost) log_warning("member_lost").with("control_host", address_);
+    if (failures == 0 && was_lost) log_info("member_regained").with("control_host", address_);
     if (failures == silent_after_failures) {
       connect();
-      failures = 0;
+      failures = 1;
     }
     lock.lock();
   }
--- a/services/controld/spread_link.cpp
+++ b/services/controld/spread_link.cpp
@@ -1,6 +1,7 @@
 #include "spread_link.h"
 
 #include "peer_link.h"
+#include "zinniarelay/observe/log_line.h"
 
 namespace zinnia::controld {
 namespace {
@@ -45,6 +46,7 @@
     wire::spread_reply reply;
     const bool is_sent = send(request, reply);
     lock.lock();
+    note_state(is_sent);
     if (!is_sent) {
       changed_.wait_for(lock, retry_interval);
       continue;
@@ -57,6 +59,14 @@
   }
 }
 
+void spread_link::note_state(bool is_sent) {
+  if (is_sent == is_up_) return;
+  is_up_ = is_sent;
+  auto line = is_sent ? log_info("spread_regained") : log_warning("spread_lost");
+  line.with("control_host", address_).with("confirmed", confirmed_);
+  line.with("position", shared_.host.upstreams().position());
+}
+
 bool spread_link::send(const wire::spread_request& request, wire::spread_reply& reply) {
   if (!stub_) stub_ = wire::flow_control::NewStub(open_channel(address_));
   grpc::ClientContext context;
--- a/services/controld/spread_link.h
+++ b/services/controld/spread_link.h
@@ -28,6 +28,7 @@
 
 private:
   void run();
+  void note_state(bool is_sent);
   bool send(const wire::spread_request& request, wire::spread_reply& reply);
 
   host_state& shared_;
@@ -37,6 +38,7 @@
   std::condition_variable changed_;
   std::uint64_t confirmed_ = 0;
   std::uint64_t peer_source_ = 0; ///< process that confirmed
+  bool is_up_ = true;
   bool is_stopping_ = false;
   std::thread worker_;
 };
--- /dev/null
+++ b/tests/libraries/control/flow_declarations_test.cpp
@@ -0,0 +1,132 @@
+#include "zinniarelay/control/control_host.h"
+
+#include "support/control_group.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace zinnia {
+namespace {
+
+using support::control_group;
+
+wire::version_request version_of(std::uint64_t version, const std::string& document = "") {
+  wire::version_request out;
+  out.set_author("ana");
+  out.mutable_proposed()->mutable_declaration()->set_version(version);
+  out.mutable_proposed()->set_document(document.empty() ? std::to_string(version) : document);
+  return out;
+}
+
+struct founded {
+  founded() { group.run(milliseconds(3'000)); }
+
+  wire::version_reply apply(std::uint64_t id, const wire::version_request& request) {
+    const auto submitted = group.host(id).apply_version(group.now, 1, request);
+    group.observe(id);
+    if (submitted.answer) return *submitted.answer;
+    for (int n = 0; n < 50; ++n) {
+      group.run(control_group::step_time);
+      if (const auto reply = group.host(id).version_answer(submitted.pending)) return *reply;
+    }
+    return group.host(id).unconfirmed_version();
+  }
+
+  wire::read_reply read(std::uint64_t id) {
+    const auto pending = group.host(id).begin_read(group.now);
+    if (!pending) return {};
+    group.observe(id);
+    for (int n = 0; n < 20; ++n) {
+      group.run(control_group::step_time);
+      if (const auto reply = group.host(id).read_answer(*pending)) return *reply;
+    }
+    return {};
+  }
+
+  control_group group{1, 3, {}};
+};
+
+BOOST_FIXTURE_TEST_SUITE(flow_declarations_test, founded)
+
+// Guards against an older declaration that replaces a newer one, and against the refusal
+// of a declaration that is sent again.
+BOOST_AUTO_TEST_CASE(highest_version_is_in_force) {
+  const auto leader = group.leader();
+  BOOST_TEST((apply(leader, version_of(5)).result() == wire::version_reply::accepted));
+  BOOST_TEST((apply(leader, version_of(3)).result() == wire::version_reply::accepted));
+  BOOST_TEST((apply(leader, version_of(5)).result() == wire::version_reply::accepted));
+  BOOST_TEST((apply(leader, version_of(5, "other")).result() == wire::version_reply::accepted));
+  group.run(milliseconds(500));
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    BOOST_TEST(group.host(id).flows().document() == "5");
+}
+
+// Guards against two racing declarations of which the lower one wins by its later entry.
+BOOST_AUTO_TEST_CASE(race_is_won_by_the_higher_version) {
+  const auto leader = group.leader();
+  auto& host = group.host(leader);
+  host.apply_version(group.now, 1, version_of(9));
+  host.apply_version(group.now, 1, version_of(8));
+  group.observe(leader);
+  group.run(milliseconds(500));
+  BOOST_TEST(host.flows().declaration().version() == 9U);
+}
+
+// Guards against a declaration that is lost with a restart or a compaction.
+BOOST_AUTO_TEST_CASE(declaration_survives_restarts_and_snapshots) {
+  const auto leader = group.leader();
+  for (std::uint64_t version = 1; version <= 20; ++version)
+    apply(leader, version_of(version));
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    group.stop(id);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    group.start(id);
+  group.run(milliseconds(3'000));
+  BOOST_TEST(group.host(1).flows().document() == "20");
+  const auto copy = control_state::decode(group.host(1).state().encode());
+  BOOST_TEST(copy.value().flows().version() == 20U);
+}
+
+// Guards against a read that a deposed leader answers with an older declaration.
+BOOST_AUTO_TEST_CASE(read_needs_a_quorum) {
+  const auto leader = group.leader();
+  BOOST_TEST(read(leader).confirmed());
+  const auto follower = leader == 1 ? 2U : 1U;
+  BOOST_TEST(!read(follower).confirmed());
+  const auto pending = group.host(leader).begin_read(group.now);
+  BOOST_REQUIRE(pending.has_value());
+  group.isolate(leader);
+  group.observe(leader);
+  group.run(milliseconds(3'000));
+  const auto answer = group.host(leader).read_answer(*pending);
+  BOOST_TEST((!answer || !answer->confirmed()));
+}
+
+// Guards against a read that misses a declaration which was acknowledged before it.
+BOOST_AUTO_TEST_CASE(read_covers_what_was_acknowledged) {
+  const auto leader = group.leader();
+  apply(leader, version_of(4));
+  const auto acknowledged = group.host(leader).applied_index();
+  BOOST_TEST(read(leader).index() >= acknowledged);
+}
+
+// Guards against entry hosts that are not told of a newer declaration at once, or are
+// sent the one that they hold.
+BOOST_AUTO_TEST_CASE(news_hold_what_the_entry_host_lacks) {
+  const auto leader = group.leader();
+  apply(leader, version_of(4));
+  auto& host = group.host(leader);
+  wire::news_request request;
+  request.set_source(host.source());
+  BOOST_TEST(host.has_urgent_news(request));
+  BOOST_TEST(host.news(group.now, request).declaration().version() == 4U);
+  request.set_version(4);
+  BOOST_TEST(!host.has_urgent_news(request));
+  BOOST_TEST(!host.news(group.now, request).has_declaration());
+  request.set_source(host.source() + 1);
+  BOOST_TEST(host.has_urgent_news(request));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace zinnia
--- /dev/null
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -0,0 +1,142 @@
+#include "platform/operator_api.h"
+
+#include "platform/bodies.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace zinnia {
+namespace {
+
+using state = upstream_report::state;
+
+const std::string declaration =
+    R"({"version":7,"routes":[{"name":"r-1","hostname":"198.18.0.1","pathPrefix":"/8080/",)"
+    R"("routeType":"unsafe","timeoutMs":3000,"aimMs":250,"priority":1,"service":"core",)"
+    R"("maxAttempts":2},{"name":"r-2","hostname":"198.18.0.1","pathPrefix":"/8443/",)"
+    R"("routeType":"safe","timeoutMs":2500,"aimMs":200,"priority":2,"trafficSplit":[)"
+    R"({"service":"core","weight":90},{"service":"history","weight":10}],"maxAttempts":2}],)"
+    R"("services":[{"name":"core","healthPath":"/health","maxFlows":2000},)"
+    R"({"name":"history","healthPath":"/health","maxFlows":2000}],)"
+    R"("limits":{"idleTimeoutMs":15000}})";
+
+const std::string report =
+    R"({"service":"core","address":"10.128.0.9:8080","zone":"b","version":"v1",)"
+    R"("maxConcurrency":2,"state":"ready","warmupLeftMs":400,"sequence":4,"born":1700000000000})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+struct recorded_operations final : flow_operations {
+  answer apply_version(const wire::versioned_declaration& value) override {
+    proposed = value;
+    return next;
+  }
+  std::optional<std::string> read_document() override { return document; }
+  answer report(const upstream_report& value) override {
+    reported = value;
+    return next;
+  }
+  std::optional<upstream_report> known_upstream(const std::string& /*id*/) override {
+    return known;
+  }
+
+  answer next{outcome::done, ""};
+  wire::versioned_declaration proposed;
+  std::optional<std::string> document;
+  std::optional<upstream_report> reported;
+  std::optional<upstream_report> known;
+};
+
+struct api_fixture {
+  int post(const std::string& path, const std::string& body) {
+    return api.handle({"POST", path, body}).status;
+  }
+  recorded_operations operations;
+  platform::operator_api api{operations};
+};
+
+BOOST_FIXTURE_TEST_SUITE(operator_api_test, api_fixture)
+
+// Guards against fields of a declaration that are lost or read as something else.
+BOOST_AUTO_TEST_CASE(declaration_is_decoded_and_kept_as_sent) {
+  BOOST_TEST(post("/api/config/replace", declaration) == 200);
+  BOOST_TEST(operations.proposed.document() == declaration);
+  const auto& decoded = operations.proposed.declaration();
+  BOOST_TEST(decoded.version() == 7U);
+  BOOST_TEST(decoded.idle_timeout_ms() == 15'000U);
+  BOOST_REQUIRE(decoded.routes_size() == 2);
+  BOOST_TEST(decoded.routes(0).address() == 0xC612'0001U);
+  BOOST_TEST(decoded.routes(0).port() == 8080U);
+  BOOST_TEST((decoded.routes(0).kind() == wire::unsafe));
+  BOOST_TEST(decoded.routes(0).services(0).service() == "core");
+  BOOST_TEST(decoded.routes(1).services(1).weight() == 10U);
+}
+
+// Guards against the acknowledgement of a declaration that cannot be read in full.
+BOOST_AUTO_TEST_CASE(unreadable_declaration_is_refused) {
+  BOOST_TEST(post("/api/config/replace", declaration.substr(0, 300)) == 400);
+  BOOST_TEST(post("/api/config/replace", "") == 400);
+  BOOST_TEST(post("/api/config/replace", "[]") == 400);
+  BOOST_TEST(post("/api/config/replace", replaced(declaration, "\"version\":7,", "")) == 400);
+  BOOST_TEST(post("/api/config/replace", replaced(declaration, "/8080/", "/port/")) == 400);
+  BOOST_TEST(post("/api/config/replace", replaced(declaration, "\"weight\":90", "\"w\":90")) ==
+             400);
+  BOOST_TEST(post("/api/config/replace", replaced(declaration, "3000", "\"3000\"")) == 400);
+  BOOST_TEST(operations.proposed.document().empty());
+}
+
+// Guards against an uncertain outcome that is reported as a refusal or as done.
+BOOST_AUTO_TEST_CASE(outcomes_have_their_status) {
+  operations.next = {flow_operations::outcome::unsure, "no quorum"};
+  BOOST_TEST(post("/api/config/replace", declaration) == 503);
+  operations.next = {flow_operations::outcome::invalid, "two routes"};
+  BOOST_TEST(post("/api/config/replace", declaration) == 400);
+}
+
+// Guards against a read that shows a declaration which may be outdated.
+BOOST_AUTO_TEST_CASE(unconfirmed_read_is_unavailable) {
+  BOOST_TEST(api.handle({"GET", "/api/config/describe", ""}).status == 503);
+  operations.document = declaration;
+  BOOST_TEST(api.handle({"GET", "/api/config/describe", ""}).body == declaration);
+}
+
+// Guards against reports that are read wrongly or name an upstream though malformed.
+BOOST_AUTO_TEST_CASE(reports_are_decoded_and_checked) {
+  const std::string path = "/api/instances/i-7f3a91c2/heartbeat";
+  BOOST_TEST(post(path, report) == 200);
+  const upstream_report expected{
+      "i-7f3a91c2", 1'700'000'000'000, 4, "core", {0x0A80'0009, 8080}, "b", "v1", 2,
+      state::ready, milliseconds(400)};
+  BOOST_TEST((operations.reported == expected));
+  operations.reported.reset();
+  BOOST_TEST(post(path, replaced(report, "\"ready\"", "\"asleep\"")) == 400);
+  BOOST_TEST(post(path, replaced(report, "\"maxConcurrency\":2", "\"maxConcurrency\":\"2\"")) ==
+             400);
+  BOOST_TEST(post(path, replaced(report, "10.128.0.9:8080", "10.128.0.9")) == 400);
+  BOOST_TEST(post(path, report.substr(0, 50)) == 400);
+  BOOST_TEST(post("/api/instances/nobody/heartbeat", report) == 400);
+  BOOST_TEST(!operations.reported.has_value());
+}
+
+// Guards against a leave that ends another incarnation than the one that sent it.
+BOOST_AUTO_TEST_CASE(leave_ends_the_incarnation_that_it_names) {
+  operations.known = platform::decode_report("i-7f", report).value();
+  BOOST_TEST(post("/api/instances/i-7f/deregister", "") == 200);
+  BOOST_TEST((operations.reported->condition == state::gone));
+  BOOST_TEST(operations.reported->incarnation() == operations.known->incarnation());
+  BOOST_TEST(post("/api/instances/i-7f/deregister", R"({"born":5})") == 200);
+  BOOST_TEST(operations.reported->started_ms == 5U);
+  BOOST_TEST(operations.reported->incarnation() != operations.known->incarnation());
+}
+
+BOOST_AUTO_TEST_CASE(unknown_calls_are_not_found) {
+  BOOST_TEST(post("/api/instances//heartbeat", report) == 404);
+  BOOST_TEST(post("/elsewhere", report) == 404);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace zinnia
