flow: a flow without packets for a second is no load

An upstream that resets or sheds a flow tells only the caller; the entry host counted such flows as open for the idle timeout of 15 s and sent its new ones to the few upstreams without leftovers (1,117 flows to one, 22 to another in 8 s). Ruled out: missing upstreams (all 18 were known) and old reports (none older than 1.5 s).

Change: flows without a packet for 1 s are dropped from the table. Test with flows that end without a packet.

--- a/include/zinniarelay/flow/flow_table.h
+++ b/include/zinniarelay/flow/flow_table.h
@@ -30,8 +30,9 @@
   /// Notes a packet of a flow, which is added when it is not known.
   flow& touch(time_point now, const flow_key& key, std::uint64_t upstream);
   void close(const flow_key& key);
-  /// Drops the flows without a packet for the given time.
-  void expire(time_point now, milliseconds unanswered, milliseconds idle);
+  /// Drops the flows without a packet for the given time. An upstream that ends a flow
+  /// tells only the caller, so that silence is the only sign of it here.
+  void expire(time_point now, milliseconds silence);
 
   /// Open flows of an upstream that this host knows of.
   std::uint32_t open_of(std::uint64_t upstream) const;
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -10,7 +10,10 @@
 
 // A caller gives an attempt up 1.4 s after its first opening packet.
 constexpr milliseconds opening_timeout{1'500};
-constexpr milliseconds expiry_period{250};
+// A request that runs or waits for longer than this is rare; a flow without packets for
+// so long has most likely ended, or is idle, and is no load.
+constexpr milliseconds silence_of_ended_flows{1'000};
+constexpr milliseconds expiry_period{100};
 // One lost packet is no evidence that an upstream has failed.
 constexpr std::uint32_t suspicious_misses = 2;
 
@@ -159,8 +162,7 @@
 void flow_router::tick(time_point now) {
   if (now < next_expiry_) return;
   next_expiry_ = now + expiry_period;
-  const auto idle = routes_.idle_timeout();
-  flows_.expire(now, opening_timeout, idle.count() > 0 ? idle : opening_timeout);
+  flows_.expire(now, silence_of_ended_flows);
   const auto before = upstreams_.size();
   upstreams_.forget_old(now);
   if (upstreams_.size() == before) return;
--- a/libraries/flow/flow_table.cpp
+++ b/libraries/flow/flow_table.cpp
@@ -31,15 +31,13 @@
   it->is_closed = true;
 }
 
-void flow_table::expire(time_point now, milliseconds unanswered, milliseconds idle) {
+void flow_table::expire(time_point now, milliseconds silence) {
   for (auto it = flows_.begin(); it != flows_.end();) {
-    const auto& flow = it->second;
-    const auto limit = flow.is_answered && !flow.is_closed ? idle : unanswered;
-    if (now - flow.seen <= limit) {
+    if (now - it->second.seen <= silence) {
       ++it;
       continue;
     }
-    drop_count(flow);
+    drop_count(it->second);
     flows_.erase(it++);
   }
 }
--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -164,6 +164,20 @@
   BOOST_TEST(router.flows().open_of(report_of("i-1", 81).incarnation()) == 0U);
 }
 
+// Guards against upstreams that are avoided long after a crowd, because they ended
+// its flows by resets that only the callers see.
+BOOST_AUTO_TEST_CASE(flows_that_ended_without_a_packet_are_no_load) {
+  auto router = serving_router(2);
+  for (std::uint16_t port = 1; port <= 200; ++port) {
+    const auto opened = router.route(at({}), opening(port));
+    router.route(at({}), carried(port, opened.route_tag));
+  }
+  for (int ms = 0; ms <= 2'000; ms += 50)
+    router.tick(at(milliseconds(ms)));
+  BOOST_TEST(router.flows().open_of(report_of("i-1", 81).incarnation()) == 0U);
+  BOOST_TEST(router.flows().open_of(report_of("i-2", 82).incarnation()) == 0U);
+}
+
 // Guards against uneven load on equal upstreams.
 BOOST_AUTO_TEST_CASE(flows_spread_evenly) {
   auto router = serving_router(4);
