flowd, controld: settings are read again, metrics of outcomes and waits

Waits for the first answer of a flow, for declarations and reads are histograms on the metrics address; outcomes are counted. A log line never waits for a reader: a pipe that is full loses it.

--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -51,6 +51,8 @@
   endpoint to;                     ///< forward: the upstream's address
   const std::string* id = nullptr; ///< forward: the upstream's id; valid until the next call
   std::uint32_t route_tag = 0;     ///< forward: written into the packet
+  /// Set with the first packet by which the caller shows that it has an answer.
+  std::optional<milliseconds> answered_after = std::nullopt;
 };
 
 /// "opened", "no_route" and so on.
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -29,7 +29,7 @@
 flow_decision flow_router::route(time_point now, const packet_head& head) {
   flow_decision out;
   if (head.is_open && head.is_answer)
-    out = {action::drop, reason::not_a_caller, {}, nullptr, 0};
+    out = {action::drop, reason::not_a_caller, {}, nullptr, 0, std::nullopt};
   else
     out = head.is_open ? open(now, head) : carry(now, head);
   ++counts_.at(static_cast<std::size_t>(out.why));
@@ -43,9 +43,10 @@
 }
 
 flow_decision flow_router::open(time_point now, const packet_head& head) {
-  if (routes_.version() == 0) return {action::drop, reason::not_ready, {}, nullptr, 0};
+  if (routes_.version() == 0)
+    return {action::drop, reason::not_ready, {}, nullptr, 0, std::nullopt};
   const auto* route = routes_.find(head.destination);
-  if (route == nullptr) return {action::reset, reason::no_route, {}, nullptr, 0};
+  if (route == nullptr) return {action::reset, reason::no_route, {}, nullptr, 0, std::nullopt};
   const auto key = head.key();
   std::uint64_t avoided = 0;
   auto why = reason::opened;
@@ -62,7 +63,7 @@
   }
   const auto& service = route->service_of(std::hash<flow_key>{}(key));
   const auto* chosen = choose(now, service, avoided);
-  if (chosen == nullptr) return {action::reset, reason::no_upstream, {}, nullptr, 0};
+  if (chosen == nullptr) return {action::reset, reason::no_upstream, {}, nullptr, 0, std::nullopt};
   auto& flow = flows_.open(now, key, chosen->report.incarnation());
   flow.copies = head.acknowledged;
   return forward(*chosen, why);
@@ -70,6 +71,7 @@
 
 flow_decision flow_router::carry(time_point now, const packet_head& head) {
   const auto key = head.key();
+  std::optional<milliseconds> answered_after;
   const auto* to = upstreams_.find_tag(head.route_tag);
   if (to == nullptr) {
     // Before the first answer the caller knows no tag.
@@ -80,17 +82,20 @@
     auto& flow = flows_.touch(now, key, upstream);
     if (!flow.is_answered) {
       flow.is_answered = true;
+      answered_after = std::chrono::duration_cast<milliseconds>(now - flow.opened);
       note_answer(now, upstream);
     }
   }
   if (head.is_end || head.is_reset) flows_.close(key);
-  if (to == nullptr) return {action::drop, reason::unknown_tag, {}, nullptr, 0};
-  return forward(*to, reason::routed);
+  if (to == nullptr) return {action::drop, reason::unknown_tag, {}, nullptr, 0, std::nullopt};
+  auto out = forward(*to, reason::routed);
+  out.answered_after = answered_after;
+  return out;
 }
 
 flow_decision flow_router::forward(const upstream_directory::entry& to,
                                    flow_decision::reason why) const {
-  return {action::forward, why, to.report.address, &to.report.id, to.route_tag};
+  return {action::forward, why, to.report.address, &to.report.id, to.route_tag, std::nullopt};
 }
 
 const upstream_directory::entry* flow_router::choose(time_point now, const std::string& service,
--- a/libraries/observe/log_line.cpp
+++ b/libraries/observe/log_line.cpp
@@ -6,8 +6,11 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <fcntl.h>
 #include <glog/logging.h>
 #include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
 
 namespace zinnia {
 namespace {
@@ -31,6 +34,16 @@
          std::all_of(value.begin(), value.end(), [](char c) { return c > ' ' && c <= '~'; });
 }
 
+// A reader that has stopped must not stop the process: lines that a full pipe does not
+// take are lost. Files and terminals are left as they are.
+void keep_from_blocking(int descriptor) {
+  struct stat kind {};
+  if (::fstat(descriptor, &kind) != 0 || !(S_ISFIFO(kind.st_mode) || S_ISSOCK(kind.st_mode)))
+    return;
+  const int flags = ::fcntl(descriptor, F_GETFL);
+  if (flags >= 0) ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
 /// Quotes a value, so that text from elsewhere cannot form fields or lines.
 std::string escaped(std::string_view value) {
   std::string out = "\"";
@@ -58,6 +71,7 @@
   FLAGS_logtostdout = true;
   // glog flushes only standard error; a killed process would take its last lines with it.
   std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+  keep_from_blocking(STDOUT_FILENO);
   google::InitGoogleLogging(program);
 }
 
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -66,9 +66,13 @@
 
   wire::metrics_reply metrics() override {
     const std::lock_guard lock(shared_.mutex);
-    return shared_.host.metrics(monotonic_now());
+    auto out = shared_.host.metrics(monotonic_now());
+    out.MergeFrom(flows_.metrics().report());
+    return out;
   }
 
+  void set_seeds(std::vector<std::string> seeds) override { flows_.set_seeds(std::move(seeds)); }
+
   void stop() override {
     flows_.stop();
     if (server_) server_->Shutdown(system_clock::now() + operation_wait);
--- a/services/controld/control_server.h
+++ b/services/controld/control_server.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace zinnia::controld {
 
@@ -22,6 +23,8 @@
   virtual std::optional<error> tick() = 0;
   virtual flow_operations& flows() = 0;
   virtual wire::metrics_reply metrics() = 0;
+  /// Replaces the addresses that a host without a group asks.
+  virtual void set_seeds(std::vector<std::string> seeds) = 0;
   virtual void stop() = 0;
 };
 
--- a/services/controld/flow_front.cpp
+++ b/services/controld/flow_front.cpp
@@ -26,6 +26,35 @@
       std::chrono::duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
 }
 
+const char* name_of(flow_operations::outcome value) {
+  switch (value) {
+  case flow_operations::outcome::done:
+    return "done";
+  case flow_operations::outcome::invalid:
+    return "invalid";
+  case flow_operations::outcome::unsure:
+    return "unsure";
+  }
+  return "unknown";
+}
+
+/// Records how long an operation took when it ends.
+class stopwatch {
+public:
+  stopwatch(metric_registry& metrics, const char* name)
+      : wait_(metrics.distribution_of(name)), started_(monotonic_now()) {}
+  stopwatch(const stopwatch&) = delete;
+  stopwatch& operator=(const stopwatch&) = delete;
+  ~stopwatch() {
+    const std::chrono::duration<double, std::milli> taken = monotonic_now() - started_;
+    wait_.record(taken.count());
+  }
+
+private:
+  distribution& wait_;
+  time_point started_;
+};
+
 std::string text_of(const std::vector<error>& defects) {
   std::ostringstream out;
   for (const auto& it : defects)
@@ -85,6 +114,11 @@
   news_.notify_all();
 }
 
+void flow_front::set_seeds(std::vector<std::string> seeds) {
+  const std::lock_guard lock(shared_.mutex);
+  settings_.seeds = std::move(seeds);
+}
+
 // Connections to other control hosts.
 
 std::shared_ptr<flow_front::stub> flow_front::stub_of(const std::string& address) {
@@ -103,9 +137,11 @@
 // Declarations.
 
 flow_operations::answer flow_front::apply_version(const wire::versioned_declaration& proposed) {
+  const stopwatch taken(metrics_, "control_apply_ms");
   const auto version = proposed.declaration().version();
   if (const auto defects = flow_declaration_errors(proposed.declaration()); !defects.empty()) {
     log_warning("declaration_refused").with("version", version).with("cause", text_of(defects));
+    metrics_.counter_of("control_declarations", "outcome=invalid").add();
     return {outcome::invalid, text_of(defects)};
   }
   wire::version_request request;
@@ -127,6 +163,8 @@
       .with("version", version)
       .with("outcome", wire::version_reply::status_Name(reply.result()))
       .with("leader", reply.leader_address());
+  const auto result = is_accepted ? outcome::done : outcome::unsure;
+  metrics_.counter_of("control_declarations", std::string("outcome=") + name_of(result)).add();
   if (is_accepted) return {outcome::done, ""};
   return {outcome::unsure, "no quorum has confirmed the declaration in time"};
 }
@@ -185,6 +223,7 @@
 }
 
 std::optional<std::string> flow_front::read_document() {
+  const stopwatch taken(metrics_, "control_read_ms");
   const auto until = std::chrono::steady_clock::now() + answer_limit;
   const auto confirmed = read_index();
   std::unique_lock lock(shared_.mutex);
@@ -192,9 +231,11 @@
     return shared_.host.applied_index() >= confirmed.index() || is_stopping_;
   };
   if (!confirmed.confirmed() || !shared_.changed.wait_until(lock, until, is_applied)) {
+    metrics_.counter_of("control_reads", "outcome=unconfirmed").add();
     log_warning("read_unconfirmed").with("applied_index", shared_.host.applied_index());
     return std::nullopt;
   }
+  metrics_.counter_of("control_reads", "outcome=confirmed").add();
   if (shared_.host.flows().declaration().version() == 0) return std::nullopt;
   return shared_.host.flows().document();
 }
@@ -209,6 +250,7 @@
 
 flow_operations::answer flow_front::report(const upstream_report& value) {
   using state = upstream_report::state;
+  metrics_.counter_of("control_reports", std::string("state=") + name_of(value.condition)).add();
   std::unique_lock lock(shared_.mutex);
   const auto merged = shared_.host.report(monotonic_now(), value);
   if (merged == upstream_directory::merge_result::changed) {
--- a/services/controld/flow_front.h
+++ b/services/controld/flow_front.h
@@ -3,6 +3,7 @@
 #include "flow.grpc.pb.h"
 #include "zinniarelay/control/control_host.h"
 #include "zinniarelay/control/flow_operations.h"
+#include "zinniarelay/observe/metric_registry.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -44,6 +45,9 @@
 
   void start();
   void stop();
+  /// Replaces the addresses that a host without a group asks.
+  void set_seeds(std::vector<std::string> seeds);
+  const metric_registry& metrics() const { return metrics_; }
   /// Called with the mutex held after the host may have applied entries.
   void note_progress();
 
@@ -89,6 +93,7 @@
   std::map<std::string, std::unique_ptr<spread_link>> links_;
   std::vector<std::thread> workers_;
   std::uint64_t announced_version_ = 0;
+  metric_registry metrics_;
 };
 
 } // namespace zinnia::controld
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -1,6 +1,7 @@
 #include "control_server.h"
 #include "platform/operator_api.h"
 #include "zinniarelay/config/control_settings.h"
+#include "zinniarelay/config/settings_watch.h"
 #include "zinniarelay/control/group_identity.h"
 #include "zinniarelay/http/http_server.h"
 #include "zinniarelay/observe/log_line.h"
@@ -96,7 +97,21 @@
   return out;
 }
 
-int serve(const control_settings& given, const control_host_settings& settings, storage& files) {
+// Addresses and names of a running host stay; where it looks for the group may change.
+void reload(const std::filesystem::path& settings_file, controld::control_server& server) {
+  const auto fresh = control_settings::load(settings_file);
+  if (!fresh.has_value()) {
+    for (const auto& it : fresh.error())
+      log_error("settings_not_reloaded").with(it);
+    return;
+  }
+  const auto seeds = front_settings_of(fresh.value()).seeds;
+  log_info("settings_reloaded").with("seeds", seeds.size());
+  server.set_seeds(seeds);
+}
+
+int serve(const std::filesystem::path& settings_file, const control_settings& given,
+          const control_host_settings& settings, storage& files) {
   // Blocked before any thread starts, so that only the loop below receives them.
   const auto signals = stop_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -112,8 +127,11 @@
   if (!http.has_value()) return report(http.error());
   log_info("control_host_started").with("address", address);
   const timespec interval{0, std::chrono::nanoseconds(tick_interval).count()};
+  settings_watch watch(settings_file);
   for (int signal = 0; signal != SIGINT && signal != SIGTERM;) {
     signal = sigtimedwait(&signals, nullptr, &interval);
+    if (watch.has_changed(monotonic_now(), signal == SIGHUP))
+      reload(settings_file, *server.value());
     if (const auto fault = server.value()->tick()) return report(*fault);
   }
   log_info("control_host_stopping");
@@ -158,7 +176,7 @@
         assign_identity(files.value(), host_settings, group->seeds, group->is_first_start, engine);
     if (!assigned.has_value()) return report(assigned.error());
   }
-  if (!is_founding) return serve(settings.value(), host_settings, files.value());
+  if (!is_founding) return serve(settings_file, settings.value(), host_settings, files.value());
   const auto founded = control_host::initialize(files.value(), host_settings, engine);
   if (!founded.has_value()) return report(founded.error());
   std::cout << "founded cluster " << host_settings.cluster << " in "
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -13,6 +13,13 @@
 constexpr milliseconds end_margin{1'000}; // before the forced end
 constexpr std::string_view metrics_path = "/metrics";
 
+std::vector<std::string> addresses_of(const std::vector<endpoint>& list) {
+  std::vector<std::string> out;
+  for (const auto& it : list)
+    out.push_back(it.to_string());
+  return out;
+}
+
 flow_router_settings router_settings(const flow_settings& settings) {
   flow_router_settings out;
   out.zone = settings.zone_name();
@@ -32,7 +39,7 @@
 flow_daemon::flow_daemon(const flow_settings& settings, random_engine engine)
     : settings_(settings), router_(router_settings(settings), engine),
       readiness_(readiness_settings(settings), monotonic_now()), line_budget_(lines_per_second),
-      upstream_wait_(metrics_.distribution_of("flow_answer_wait_ms")) {}
+      answer_wait_(metrics_.distribution_of("flow_answer_wait_ms")) {}
 
 result<std::unique_ptr<flow_daemon>> flow_daemon::create(const flow_settings& settings,
                                                          random_engine engine) {
@@ -53,12 +60,9 @@
     ZINNIA_TRY(metrics, http_server::create(*settings_.metrics_address(), handle, bounds));
     metrics_server_ = std::move(metrics);
   }
-  std::vector<std::string> seeds;
-  for (const auto& it : settings_.control_hosts())
-    seeds.push_back(it.to_string());
   news_ = std::make_unique<news_client>(
       news_client::identity{settings_.name(), settings_.availability_zone().value},
-      std::move(seeds));
+      addresses_of(settings_.control_hosts()));
   return success();
 }
 
@@ -69,7 +73,8 @@
                    : http_response{503, "text/plain", "not ready"};
 }
 
-void flow_daemon::run(const std::atomic<bool>& stop) {
+void flow_daemon::run(requests& asked, const std::filesystem::path& settings_file) {
+  settings_watch watch(settings_file);
   while (true) {
     const auto count = socket_->receive();
     const auto now = monotonic_now();
@@ -77,7 +82,8 @@
     if (count > 0) take_packets(now, count);
     router_.tick(now);
     if (now >= next_publish_) publish(now);
-    if (stop && !readiness_.is_stopping()) {
+    if (watch.has_changed(now, asked.reload.exchange(false))) reload(settings_file);
+    if (asked.stop && !readiness_.is_stopping()) {
       readiness_.stop(now);
       is_ready_ = false;
       log_info("stopping").with("open_flows", router_.flows().size());
@@ -87,6 +93,19 @@
   log_info("stopped").with("open_flows", router_.flows().size());
 }
 
+// Addresses and names of a running host stay; where it looks for control hosts may
+// change at any time.
+void flow_daemon::reload(const std::filesystem::path& settings_file) {
+  const auto fresh = flow_settings::load(settings_file);
+  if (!fresh.has_value()) {
+    for (const auto& it : fresh.error())
+      log_error("settings_not_reloaded").with(it);
+    return;
+  }
+  news_->set_seeds(addresses_of(fresh.value().control_hosts()));
+  log_info("settings_reloaded").with("control_hosts", fresh.value().control_hosts().size());
+}
+
 void flow_daemon::take_news(time_point now) {
   for (const auto& it : news_->take()) {
     router_.learn(now, it.upstreams());
@@ -128,6 +147,8 @@
   }
   const auto decision = router_.route(now, *head);
   log_decision(now, *head, decision);
+  if (decision.answered_after)
+    answer_wait_.record(static_cast<double>(decision.answered_after->count()));
   if (decision.what == flow_decision::action::reset) return reset(*head);
   if (decision.what != flow_decision::action::forward) return;
   const auto number = platform::id_number(*decision.id);
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -4,6 +4,7 @@
 #include "packet_socket.h"
 #include "platform/packet_codec.h"
 #include "zinniarelay/config/flow_settings.h"
+#include "zinniarelay/config/settings_watch.h"
 #include "zinniarelay/flow/flow_router.h"
 #include "zinniarelay/flow/readiness.h"
 #include "zinniarelay/http/http_server.h"
@@ -12,6 +13,7 @@
 
 #include <array>
 #include <atomic>
+#include <filesystem>
 #include <memory>
 
 namespace zinnia::flowd {
@@ -24,13 +26,20 @@
   static result<std::unique_ptr<flow_daemon>> create(const flow_settings& settings,
                                                      random_engine engine);
 
+  /// What signals ask for.
+  struct requests {
+    std::atomic<bool> stop{false};
+    std::atomic<bool> reload{false};
+  };
+
   /// Runs until a stop was asked for and the callers' packets go elsewhere.
-  void run(const std::atomic<bool>& stop);
+  void run(requests& asked, const std::filesystem::path& settings_file);
 
 private:
   flow_daemon(const flow_settings& settings, random_engine engine);
 
   result<void> bind();
+  void reload(const std::filesystem::path& settings_file);
   void take_news(time_point now);
   void take_packets(time_point now, std::size_t count);
   void take_packet(time_point now, std::size_t n);
@@ -45,7 +54,7 @@
   std::atomic<bool> is_ready_{false};
   line_budget line_budget_;
   metric_registry metrics_;
-  distribution& upstream_wait_;
+  distribution& answer_wait_;
   std::unique_ptr<packet_socket> socket_;
   std::unique_ptr<news_client> news_;
   std::unique_ptr<http_server> ready_server_;
--- a/services/flowd/main.cpp
+++ b/services/flowd/main.cpp
@@ -2,7 +2,6 @@
 #include "zinniarelay/observe/log_line.h"
 
 #include <CLI/CLI.hpp>
-#include <atomic>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -11,15 +10,14 @@
 
 using namespace zinnia;
 
-std::atomic<bool> stop_requested{false};
-std::atomic<bool> reload_requested{false};
+flowd::flow_daemon::requests requested;
 
 void on_stop(int /*signal*/) {
-  stop_requested = true;
+  requested.stop = true;
 }
 
 void on_reload(int /*signal*/) {
-  reload_requested = true;
+  requested.reload = true;
 }
 
 random_engine seeded_engine() {
@@ -27,7 +25,7 @@
   return random_engine((std::uint64_t{device()} << 32U) | device());
 }
 
-int serve(const flow_settings& settings) {
+int serve(const flow_settings& settings, const std::string& settings_file) {
   std::signal(SIGTERM, on_stop);
   std::signal(SIGINT, on_stop);
   std::signal(SIGHUP, on_reload);
@@ -38,7 +36,7 @@
     return 1;
   }
   log_info("started").with("packet_address", settings.packet_address());
-  daemon.value()->run(stop_requested);
+  daemon.value()->run(requested, settings_file);
   return 0;
 }
 
@@ -64,5 +62,5 @@
   }
   start_log("zinnia-flowd", {0, settings.value().availability_zone(), settings.value().name(),
                              settings.value().zone_name()});
-  return serve(settings.value());
+  return serve(settings.value(), settings_file);
 }
--- a/services/flowd/news_client.cpp
+++ b/services/flowd/news_client.cpp
@@ -47,13 +47,19 @@
   return std::exchange(replies_, {});
 }
 
+void news_client::set_seeds(std::vector<std::string> seeds) {
+  const std::lock_guard lock(mutex_);
+  seeds_ = std::move(seeds);
+}
+
 bool news_client::is_avoided(const std::string& address) const {
   const auto it = failed_.find(address);
   return it != failed_.end() && monotonic_now() - it->second < avoidance;
 }
 
 // The nearest control host that works; when none does, all of them in turn.
-std::string news_client::choose() const {
+std::string news_client::choose() {
+  const std::lock_guard lock(mutex_);
   for (const auto* list : {&learnt_, &seeds_})
     for (const auto& it : *list)
       if (!is_avoided(it)) return it;
--- a/services/flowd/news_client.h
+++ b/services/flowd/news_client.h
@@ -28,6 +28,8 @@
   news_client& operator=(const news_client&) = delete;
   ~news_client();
 
+  /// Replaces the seeds; control hosts that were learnt stay.
+  void set_seeds(std::vector<std::string> seeds);
   /// The replies since the last call, oldest first.
   std::vector<wire::news_reply> take();
   /// The version that the host holds; the next request names it.
@@ -40,7 +42,7 @@
   };
 
   void run();
-  std::string choose() const;
+  std::string choose();
   bool fetch(const std::string& address);
   void note_failure(const std::string& address);
   bool is_avoided(const std::string& address) const;
