--- a/tests/libraries/platform/packet_codec_test.cpp
+++ b/tests/libraries/platform/packet_codec_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/packet_codec.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -44,6 +45,20 @@
   BOOST_TEST(std::equal(reset.begin(), reset.end(), expected.begin(), expected.end()));
 }
 
+// Guards against a stand-in that speaks another format than it is read in.
+BOOST_AUTO_TEST_CASE(heads_are_read_as_they_were_written) {
+  packet_head head;
+  head.source = {0x7F00'0001, 40'001};
+  head.destination = {0x7F00'0002, 443};
+  head.is_end = head.is_answer = true;
+  head.route_tag = 0xABCD'EF01;
+  head.sequence = 77;
+  head.acknowledged = 78;
+  std::array<std::byte, platform::head_size> packet{};
+  platform::encode_head(packet, head);
+  BOOST_TEST((platform::decode_head(packet) == head));
+}
+
 // Guards against a change of anything but the tag.
 BOOST_AUTO_TEST_CASE(only_the_tag_is_written) {
   auto packet = opening;
--- /dev/null
+++ b/utilities/flowpeer/flow_caller.cpp
@@ -0,0 +1,125 @@
+#include "flow_caller.h"
+
+#include "flow_packet.h"
+
+#include <thread>
+
+namespace zinnia::flowpeer {
+namespace {
+
+constexpr milliseconds first_copy{200};
+constexpr milliseconds second_copy{400}; // after the first
+constexpr milliseconds opening_limit{1'400};
+constexpr milliseconds request_interval{200};
+constexpr milliseconds flow_limit{5'000};
+constexpr milliseconds turn{2};
+constexpr std::uint16_t first_port = 1'024;
+
+} // namespace
+
+result<flow_caller> flow_caller::create(const caller_options& options, random_engine engine) {
+  ZINNIA_TRY(socket, utilities::udp_socket::create(options.address));
+  return flow_caller(options, std::move(socket), engine);
+}
+
+caller_summary flow_caller::run() {
+  std::uint32_t started = 0;
+  while (started < options_.flows || !flows_.empty()) {
+    while (started < options_.flows && flows_.size() < options_.at_once)
+      start(static_cast<std::uint16_t>(first_port + started++));
+    receive();
+    const auto now = monotonic_now();
+    for (auto it = flows_.begin(); it != flows_.end();) {
+      auto& flow = it->second;
+      const auto limit = flow.is_open ? flow_limit : opening_limit;
+      if (now - flow.started > limit) {
+        ++summary_.unanswered;
+        it = flows_.erase(it);
+        continue;
+      }
+      if (now >= flow.next_send) resend(it->first, flow);
+      ++it;
+    }
+    std::this_thread::sleep_for(turn);
+  }
+  return summary_;
+}
+
+void flow_caller::start(std::uint16_t port) {
+  auto& flow = flows_[port];
+  flow.request = "request " + std::to_string(port);
+  flow.started = monotonic_now();
+  flow.next_send = flow.started + first_copy;
+  packet_head head;
+  head.is_open = true;
+  send(port, flow, head, {});
+}
+
+void flow_caller::resend(std::uint16_t port, open_flow& flow) {
+  packet_head head;
+  if (flow.is_open) {
+    head.is_answer = true;
+    flow.next_send = monotonic_now() + request_interval;
+    return send(port, flow, head, flow.request);
+  }
+  head.is_open = true;
+  head.acknowledged = ++flow.copies;
+  flow.next_send = flow.copies == 1 ? monotonic_now() + second_copy : flow.started + opening_limit;
+  send(port, flow, head, {});
+}
+
+void flow_caller::receive() {
+  while (const auto received = socket_.receive()) {
+    const auto head = platform::decode_head(std::as_bytes(std::span(received->payload)));
+    if (!head) continue;
+    const auto it = flows_.find(head->destination.port);
+    if (it == flows_.end()) continue;
+    if (take(it->first, it->second, *head, received->payload.substr(platform::head_size)))
+      flows_.erase(it);
+  }
+}
+
+bool flow_caller::take(std::uint16_t port, open_flow& flow, const packet_head& head,
+                       std::string_view data) {
+  if (head.is_reset) {
+    ++summary_.reset;
+    return true;
+  }
+  flow.route_tag = head.route_tag;
+  if (head.is_open) {
+    flow.is_open = true;
+    resend(port, flow);
+    return false;
+  }
+  flow.parts[head.sequence] = data;
+  flow.has_end = flow.has_end || head.is_end;
+  return flow.has_end && finish(port, flow);
+}
+
+bool flow_caller::finish(std::uint16_t port, open_flow& flow) {
+  std::string answer;
+  for (const auto& [offset, part] : flow.parts) {
+    if (offset != answer.size()) return false; // a part is missing
+    answer += part;
+  }
+  if (answer.size() < options_.answer_bytes) return false;
+  if (answer == answer_of(flow.request, options_.answer_bytes))
+    ++summary_.answered;
+  else
+    ++summary_.damaged;
+  packet_head end;
+  end.is_end = end.is_answer = true;
+  send(port, flow, end, {});
+  return true;
+}
+
+void flow_caller::send(std::uint16_t port, const open_flow& flow, packet_head head,
+                       std::string_view data) {
+  head.source = {options_.address.address, port};
+  head.destination = options_.service;
+  head.route_tag = flow.route_tag;
+  std::uniform_int_distribution<std::size_t> draw(0, options_.entry_hosts.size() - 1);
+  socket_.send(options_.entry_hosts[draw(engine_)], encode_packet(head, data));
+}
+
+} // namespace zinnia::flowpeer
--- /dev/null
+++ b/utilities/flowpeer/flow_caller.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "common/udp_socket.h"
+#include "zinniarelay/core/random.h"
+#include "zinniarelay/core/result.h"
+#include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/packet_head.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinnia::flowpeer {
+
+struct caller_options {
+  endpoint address; ///< UDP; its port is the one of the entry hosts
+  endpoint service; ///< that the flows are opened to
+  std::vector<endpoint> entry_hosts;
+  std::uint32_t flows = 100;
+  std::uint32_t at_once = 4;      ///< flows that are open at the same time
+  std::size_t answer_bytes = 600; ///< expected of each answer
+};
+
+struct caller_summary {
+  std::uint32_t answered = 0;
+  std::uint32_t reset = 0;
+  std::uint32_t unanswered = 0;
+  std::uint32_t damaged = 0; ///< answers that differ from the expected one
+
+  friend bool operator==(const caller_summary&, const caller_summary&) = default;
+};
+
+/// A stand-in of callers of packet flows. Each packet goes to an entry host drawn at
+/// random, as behind a fabric that moves flows all the time.
+class flow_caller {
+public:
+  /// Fails with error_kind::io when the address cannot be bound.
+  static result<flow_caller> create(const caller_options& options, random_engine engine);
+
+  caller_summary run();
+
+private:
+  struct open_flow {
+    std::string request;
+    std::uint32_t route_tag = 0;
+    std::uint32_t copies = 0; ///< of the opening packet
+    bool is_open = false;
+    time_point started;
+    time_point next_send;
+    std::map<std::uint32_t, std::string> parts; ///< by offset
+    bool has_end = false;
+  };
+
+  flow_caller(const caller_options& options, utilities::udp_socket socket, random_engine engine)
+      : options_(options), socket_(std::move(socket)), engine_(engine) {}
+
+  void start(std::uint16_t port);
+  void resend(std::uint16_t port, open_flow& flow);
+  void receive();
+  /// True when the flow has ended.
+  bool take(std::uint16_t port, open_flow& flow, const packet_head& head, std::string_view data);
+  bool finish(std::uint16_t port, open_flow& flow);
+  void send(std::uint16_t port, const open_flow& flow, packet_head head, std::string_view data);
+
+  caller_options options_;
+  utilities::udp_socket socket_;
+  random_engine engine_;
+  std::map<std::uint16_t, open_flow> flows_; ///< by the caller's port
+  caller_summary summary_;
+};
+
+} // namespace zinnia::flowpeer
--- a/utilities/zinniactl/exit_code.h
+++ b/utilities/zinniactl/exit_code.h
@@ -2,7 +2,7 @@
 
 namespace zinnia {
 
-/// What scripts can rely on; docs/operations.md explains each.
+/// What scripts can rely on; docs/OPERATIONS.md explains each.
 enum class exit_code {
   done = 0,
   different = 1,
