--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -15,6 +15,7 @@
 
 std::vector<std::string> addresses_of(const std::vector<endpoint>& list) {
   std::vector<std::string> out;
+  out.reserve(list.size());
   for (const auto& it : list)
     out.push_back(it.to_string());
   return out;
