--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -26,9 +26,6 @@
   milliseconds report_silence{4'000};
   /// An upstream that left opening packets unanswered is avoided for this long.
   milliseconds suspicion{1'000};
-  /// Flows of this host that an upstream should hold, for each of its slots. Beyond
-  /// that, it would refuse some, and each refusal uses up a try of its caller.
-  std::uint32_t flows_per_slot = 2;
   choice_settings choice;
 };
 
@@ -43,12 +40,11 @@
     routed,       ///< by the tag of the packet
     no_route,     ///< the declaration has no such address
     no_upstream,  ///< no upstream of the service is known
-    crowded,      ///< every upstream has as many flows as it should hold
     unknown_tag,  ///< the tag names no known upstream
     not_a_caller, ///< only upstreams send such a packet
     not_ready,    ///< no declaration is in force here yet
   };
-  static constexpr std::size_t reason_count = 10;
+  static constexpr std::size_t reason_count = 9;
 
   action what = action::drop;
   reason why = reason::not_ready;
@@ -98,7 +94,6 @@
   flow_decision forward(const upstream_directory::entry& to, flow_decision::reason why) const;
   const upstream_directory::entry* choose(time_point now, const std::string& service,
                                           std::uint64_t avoided);
-  bool is_crowded(const upstream_directory::entry& it) const;
   bool is_suspect(time_point now, const upstream_directory::entry& it) const;
   void note_answer(time_point now, std::uint64_t upstream);
   void note_silence(time_point now, std::uint64_t upstream);
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -13,8 +13,6 @@
 // A request that runs or waits for longer than this is rare; a flow without packets for
 // so long has most likely ended, or is idle, and is no load.
 constexpr milliseconds silence_of_ended_flows{1'000};
-// Copies of an opening packet that a caller sends before it gives the attempt up.
-constexpr std::uint32_t last_copy = 2;
 constexpr milliseconds expiry_period{100};
 // One lost packet is no evidence that an upstream has failed.
 constexpr std::uint32_t suspicious_misses = 2;
@@ -23,8 +21,8 @@
 
 const char* name_of(flow_decision::reason reason) {
   constexpr std::array<const char*, flow_decision::reason_count> names{
-      "opened",      "reopened", "moved",       "routed",       "no_route",
-      "no_upstream", "crowded",  "unknown_tag", "not_a_caller", "not_ready"};
+      "opened",      "reopened",    "moved",        "routed",   "no_route",
+      "no_upstream", "unknown_tag", "not_a_caller", "not_ready"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -66,12 +64,6 @@
   const auto& service = route->service_of(std::hash<flow_key>{}(key));
   const auto* chosen = choose(now, service, avoided);
   if (chosen == nullptr) return {action::reset, reason::no_upstream, {}, nullptr, 0, std::nullopt};
-  // The caller sends two copies of its opening packet, so that silence makes it wait;
-  // at the last one it is told that the attempt has ended.
-  if (is_crowded(*chosen)) {
-    const auto what = head.acknowledged < last_copy ? action::drop : action::reset;
-    return {what, reason::crowded, {}, nullptr, 0, std::nullopt};
-  }
   auto& flow = flows_.open(now, key, chosen->report.incarnation());
   flow.copies = head.acknowledged;
   return forward(*chosen, why);
@@ -129,12 +121,6 @@
   return chosen ? upstreams_.find(*chosen) : nullptr;
 }
 
-// The least loaded upstream was chosen; when it is crowded, all are.
-bool flow_router::is_crowded(const upstream_directory::entry& it) const {
-  const auto open = flows_.open_of(it.report.incarnation());
-  return open >= std::uint64_t{it.report.slots} * settings_.flows_per_slot;
-}
-
 bool flow_router::is_suspect(time_point now, const upstream_directory::entry& it) const {
   const auto known = evidence_.find(it.report.incarnation());
   const auto answered = known == evidence_.end() ? time_point{} : known->second.answered;
