controld, flowd: one way to connect to a control host; no unused host count

The channel to a control host was set up twice with the same arguments, and flow_router had a count of hosts that nothing set. Comments that no longer fit.

--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -9,7 +9,6 @@
 #include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
 
-#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -73,8 +72,6 @@
   /// True when the content of the directory changed.
   bool learn(time_point now, const wire::upstream_news& news);
   void tick(time_point now);
-  /// Entry hosts of the own zone, this one included.
-  void set_zone_hosts(std::size_t count) { zone_hosts_ = std::max<std::size_t>(1, count); }
 
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
@@ -106,7 +103,6 @@
   flow_table flows_;
   std::unordered_map<std::uint64_t, evidence> evidence_;
   std::map<std::string, std::vector<std::uint64_t>> ready_; ///< upstreams by service
-  std::size_t zone_hosts_ = 1;
   std::optional<time_point> last_news_;
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
--- a/include/zinniarelay/flow/upstream_choice.h
+++ b/include/zinniarelay/flow/upstream_choice.h
@@ -12,7 +12,7 @@
 struct upstream_candidate {
   std::uint64_t incarnation = 0;
   std::uint32_t slots = 1;
-  double open_flows = 0; ///< estimate over all hosts that send to it
+  double open_flows = 0; ///< that this host has carried lately
   bool is_own_zone = true;
   bool is_warming = false; ///< slow after its start
   bool is_suspect = false; ///< does not answer, or its reports have stopped
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr const char* group_author = "control group";
-// An entry host that waits for its answer does not poll another control host
-// meanwhile, so that the answer of a cut-off host must say so at once.
+// A host without contact to a quorum for this long may have been replaced, and asks
+// to be taken in again.
 constexpr milliseconds longest_quorum_age{1'000};
 
 std::string compressed(const std::string& content) {
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -111,8 +111,7 @@
     made.incarnation = incarnation;
     made.slots = it->report.slots;
     made.is_own_zone = it->report.zone == settings_.zone;
-    made.open_flows = static_cast<double>(flows_.open_of(incarnation)) *
-                      (made.is_own_zone ? static_cast<double>(zone_hosts_) : 1.0);
+    made.open_flows = flows_.open_of(incarnation);
     made.is_warming = now < it->warm_at;
     made.is_suspect = is_suspect(now, *it);
     candidates.push_back(made);
--- a/services/controld/flow_front.cpp
+++ b/services/controld/flow_front.cpp
@@ -1,6 +1,6 @@
 #include "flow_front.h"
 
-#include "peer_link.h"
+#include "shared/control_channel.h"
 #include "spread_link.h"
 #include "zinniarelay/flow/route_table.h"
 #include "zinniarelay/observe/log_line.h"
@@ -124,7 +124,7 @@
 std::shared_ptr<flow_front::stub> flow_front::stub_of(const std::string& address) {
   const std::lock_guard lock(stub_mutex_);
   auto& slot = stubs_[address];
-  if (!slot) slot = wire::flow_control::NewStub(open_channel(address));
+  if (!slot) slot = wire::flow_control::NewStub(open_control_channel(address));
   return slot;
 }
 
--- a/services/controld/peer_link.cpp
+++ b/services/controld/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "peer_link.h"
 
+#include "shared/control_channel.h"
 #include "zinniarelay/observe/log_line.h"
 
 namespace zinnia::controld {
@@ -12,16 +13,6 @@
 
 } // namespace
 
-std::shared_ptr<grpc::Channel> open_channel(const std::string& address) {
-  grpc::ChannelArguments arguments;
-  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
-  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
-  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
-}
-
 peer_link::peer_link(std::string address, answer_handler on_answer)
     : address_(std::move(address)), on_answer_(std::move(on_answer)), worker_([this] { run(); }) {}
 
@@ -43,7 +34,7 @@
 }
 
 void peer_link::connect() {
-  stub_ = wire::replication::NewStub(open_channel(address_));
+  stub_ = wire::replication::NewStub(open_control_channel(address_));
 }
 
 bool peer_link::exchange(const wire::raft_message& message) {
--- a/services/controld/peer_link.h
+++ b/services/controld/peer_link.h
@@ -14,10 +14,6 @@
 
 namespace zinnia::controld {
 
-/// A connection of its own to a control host, without gRPC's retries. A shared pool
-/// would hand a silent connection out again.
-std::shared_ptr<grpc::Channel> open_channel(const std::string& address);
-
 /// Sends messages to one member, in order and one at a time.
 class peer_link {
 public:
--- a/services/controld/spread_link.cpp
+++ b/services/controld/spread_link.cpp
@@ -1,6 +1,6 @@
 #include "spread_link.h"
 
-#include "peer_link.h"
+#include "shared/control_channel.h"
 #include "zinniarelay/observe/log_line.h"
 
 namespace zinnia::controld {
@@ -68,7 +68,7 @@
 }
 
 bool spread_link::send(const wire::spread_request& request, wire::spread_reply& reply) {
-  if (!stub_) stub_ = wire::flow_control::NewStub(open_channel(address_));
+  if (!stub_) stub_ = wire::flow_control::NewStub(open_control_channel(address_));
   grpc::ClientContext context;
   context.set_deadline(std::chrono::system_clock::now() + spread_deadline);
   if (stub_->Spread(&context, request, &reply).ok()) return true;
--- a/services/flowd/news_client.cpp
+++ b/services/flowd/news_client.cpp
@@ -1,5 +1,6 @@
 #include "news_client.h"
 
+#include "shared/control_channel.h"
 #include "zinniarelay/observe/log_line.h"
 
 #include <grpcpp/grpcpp.h>
@@ -16,18 +17,6 @@
 constexpr std::uint32_t stale_quorum_ms = 1'000;
 constexpr std::size_t most_waiting_replies = 64;
 
-std::unique_ptr<wire::flow_control::Stub> connect(const std::string& address) {
-  grpc::ChannelArguments arguments;
-  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
-  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
-  // A shared pool would hand a silent connection out again.
-  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  return wire::flow_control::NewStub(
-      grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
-}
-
 } // namespace
 
 news_client::news_client(identity self, std::vector<std::string> seeds)
@@ -83,7 +72,7 @@
 
 bool news_client::fetch(const std::string& address) {
   if (connected_ != address || !stub_) {
-    stub_ = connect(address);
+    stub_ = wire::flow_control::NewStub(open_control_channel(address));
     connected_ = address;
   }
   auto& known = positions_[address];
--- /dev/null
+++ b/services/shared/control_channel.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <grpcpp/grpcpp.h>
+
+#include <memory>
+#include <string>
+
+namespace zinnia {
+
+/// A connection of its own to a control host, without gRPC's retries. A shared pool
+/// would hand a silent connection out again.
+inline std::shared_ptr<grpc::Channel> open_control_channel(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 200);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+} // namespace zinnia
