--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -1,3 +1,4 @@
+#include "control/milliseconds_field.h"
 #include "zinniarelay/control/control_host.h"
 
 #include <Poco/DeflatingStream.h>
@@ -5,7 +6,6 @@
 #include <Poco/StreamCopier.h>
 
 #include <algorithm>
-#include <limits>
 #include <sstream>
 #include <xxhash.h>
 
@@ -33,11 +33,6 @@
   return out;
 }
 
-std::uint32_t milliseconds_field(milliseconds age) {
-  constexpr std::int64_t highest = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), highest));
-}
-
 std::string digest_text(const std::string& content) {
   return std::to_string(XXH64(content.data(), content.size(), 0));
 }
