platform: stand-ins take the words of reports from platform/

The stand-in of an upstream wrote the body of a report itself, with the platform's field names outside platform/.

--- a/tests/libraries/platform/operator_api_test.cpp
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -120,6 +120,15 @@
   BOOST_TEST(!operations.reported.has_value());
 }
 
+// Guards against a stand-in that reports in another form than is read.
+BOOST_AUTO_TEST_CASE(reports_are_read_as_they_were_written) {
+  const auto written = platform::decode_report("i-7f", report).value();
+  BOOST_TEST(post(platform::report_path("i-7f"), platform::encode_report(written)) == 200);
+  BOOST_TEST((operations.reported == written));
+  BOOST_TEST(post(platform::leave_path("i-7f"), platform::encode_leave(written)) == 200);
+  BOOST_TEST(operations.reported->incarnation() == written.incarnation());
+}
+
 // Guards against a leave that ends another incarnation than the one that sent it.
 BOOST_AUTO_TEST_CASE(leave_ends_the_incarnation_that_it_names) {
   operations.known = platform::decode_report("i-7f", report).value();
--- a/utilities/flowpeer/flow_upstream.cpp
+++ b/utilities/flowpeer/flow_upstream.cpp
@@ -2,6 +2,7 @@
 
 #include "flow_packet.h"
 #include "platform/bodies.h"
+#include "platform/operator_api.h"
 #include "zinniarelay/core/time.h"
 
 #include <Poco/Exception.h>
@@ -18,6 +19,7 @@
 constexpr milliseconds turn{2};
 constexpr milliseconds drain_time{3'000};
 constexpr std::size_t part_bytes = 1'000;
+constexpr std::uint32_t slots = 3;
 
 std::uint64_t unix_ms() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -40,7 +42,8 @@
     serve_packets();
     if (stop && !drained) drained = monotonic_now() + drain_time;
     if (monotonic_now() >= next_report) {
-      const bool is_taken = report(drained ? "draining" : "ready");
+      const bool is_taken =
+          report(drained ? upstream_report::state::draining : upstream_report::state::ready);
       if (is_taken && sequence_ == 1) std::cout << "announced" << std::endl;
       next_report = monotonic_now() + report_interval;
     }
@@ -104,18 +107,26 @@
   socket_.send({to.source.address, options_.caller_port}, encode_packet(head, data));
 }
 
-bool flow_upstream::report(const char* state) {
-  std::string body = R"({"service":")" + options_.service + R"(","address":")" +
-                     options_.address.to_string() + R"(","zone":")" + options_.zone +
-                     R"(","version":"v1","maxConcurrency":3,"state":")" + state +
-                     R"(","warmupLeftMs":0,"sequence":)" + std::to_string(++sequence_) +
-                     R"(,"born":)" + std::to_string(started_ms_) + "}";
-  return post("/api/instances/" + options_.id + "/heartbeat", body);
+bool flow_upstream::report(upstream_report::state condition) {
+  return post(platform::report_path(options_.id), platform::encode_report(next_report(condition)));
 }
 
 bool flow_upstream::leave() {
-  return post("/api/instances/" + options_.id + "/deregister",
-              R"({"born":)" + std::to_string(started_ms_) + "}");
+  return post(platform::leave_path(options_.id),
+              platform::encode_leave(next_report(upstream_report::state::gone)));
+}
+
+upstream_report flow_upstream::next_report(upstream_report::state condition) {
+  upstream_report out;
+  out.id = options_.id;
+  out.started_ms = started_ms_;
+  out.sequence = ++sequence_;
+  out.service = options_.service;
+  out.address = options_.address;
+  out.zone = options_.zone;
+  out.slots = slots;
+  out.condition = condition;
+  return out;
 }
 
 bool flow_upstream::post(const std::string& path, const std::string& body) {
--- a/utilities/flowpeer/flow_upstream.h
+++ b/utilities/flowpeer/flow_upstream.h
@@ -3,6 +3,7 @@
 #include "common/udp_socket.h"
 #include "zinniarelay/core/result.h"
 #include "zinniarelay/flow/packet_head.h"
+#include "zinniarelay/flow/upstream_report.h"
 
 #include <atomic>
 #include <cstdint>
@@ -45,7 +46,8 @@
   void serve(const packet_head& head, std::string_view data);
   void send(const packet_head& to, packet_head head, std::string_view data);
   void send_answer(const packet_head& head, const std::string& request);
-  bool report(const char* state);
+  bool report(upstream_report::state condition);
+  upstream_report next_report(upstream_report::state condition);
   bool leave();
   bool post(const std::string& path, const std::string& body);
 
