--- a/include/zinniarelay/replication/raft_node.h
+++ b/include/zinniarelay/replication/raft_node.h
@@ -171,6 +171,8 @@
   void step_down_without_quorum();
   void hear_from_leader(const wire::raft_message& message);
   void note_answer(std::uint64_t member, std::uint64_t round);
+  /// The progress of the member whose answer this is; null when it does not count.
+  progress* take_answer(const wire::raft_message& message, std::uint64_t round);
   time_point draw_time(microseconds shortest, microseconds longest);
   void schedule_election();
   void schedule_retry();
--- a/libraries/replication/raft_leader.cpp
+++ b/libraries/replication/raft_leader.cpp
@@ -82,14 +82,23 @@
   body.set_round(round_);
 }
 
-void raft_node::take(const wire::raft_message& message, const wire::append_reply& body) {
-  if (role_ != raft_role::leader || message.term() != term()) return;
-  if (membership().find(message.from()) == nullptr) return;
+// An answer of another data folder under the id of a member says nothing about it.
+raft_node::progress* raft_node::take_answer(const wire::raft_message& message,
+                                            std::uint64_t round) {
+  if (role_ != raft_role::leader || message.term() != term()) return nullptr;
+  if (membership().find(message.from()) == nullptr) return nullptr;
   auto& from = progress_of(message.from());
   if (from.identity == 0) from.identity = message.from_identity();
-  if (from.identity == message.from_identity()) from.zone = message.from_zone();
-  if (from.identity != message.from_identity()) return;
-  note_answer(message.from(), body.round());
+  if (from.identity != message.from_identity()) return nullptr;
+  from.zone = message.from_zone();
+  note_answer(message.from(), round);
+  return &from;
+}
+
+void raft_node::take(const wire::raft_message& message, const wire::append_reply& body) {
+  auto* const answering = take_answer(message, body.round());
+  if (answering == nullptr) return;
+  auto& from = *answering;
   if (body.success()) {
     from.match = std::max(from.match, std::min(body.match_index(), log_.last_index()));
     from.next = std::max(from.next, from.match + 1);
@@ -111,13 +120,9 @@
 }
 
 void raft_node::take(const wire::raft_message& message, const wire::snapshot_reply& body) {
-  if (role_ != raft_role::leader || message.term() != term()) return;
-  if (membership().find(message.from()) == nullptr) return;
-  auto& from = progress_of(message.from());
-  if (from.identity == 0) from.identity = message.from_identity();
-  if (from.identity == message.from_identity()) from.zone = message.from_zone();
-  if (from.identity != message.from_identity()) return;
-  note_answer(message.from(), body.round());
+  auto* const answering = take_answer(message, body.round());
+  if (answering == nullptr) return;
+  auto& from = *answering;
   if (!from.snapshot || body.checksum() != from.snapshot_checksum) return;
   if (body.done()) {
     from.snapshot.reset();
