replication: frames of files in a header of their own

The control host is about to keep a second kind of file, which needs the same framing. Moved out of log_store.cpp without a change of behaviour; the tests of test_replication pass.

--- a/libraries/replication/log_store.cpp
+++ b/libraries/replication/log_store.cpp
@@ -1,7 +1,6 @@
 #include "zinniarelay/replication/log_store.h"
 
-#include <cstring>
-#include <xxhash.h>
+#include "replication/frame.h"
 
 namespace zinnia {
 namespace {
@@ -10,37 +9,6 @@
 constexpr const char* snapshot_file = "snapshot";
 constexpr const char* log_file = "log";
 
-// A frame is the mark, the length of its payload, the XXH64 of the payload and
-// the payload. One append is one frame, so that a crash during an append damages
-// only the last frame.
-constexpr std::uint32_t frame_mark = 0x31474C5A;
-constexpr std::size_t header_size = 16; // bytes
-
-std::string frame_of(const std::string& payload) {
-  const auto length = static_cast<std::uint32_t>(payload.size());
-  const std::uint64_t sum = XXH64(payload.data(), payload.size(), length);
-  std::string out(header_size, '\0');
-  std::memcpy(out.data(), &frame_mark, sizeof frame_mark);
-  std::memcpy(out.data() + 4, &length, sizeof length);
-  std::memcpy(out.data() + 8, &sum, sizeof sum);
-  return out + payload;
-}
-
-// The payload of the frame that starts at a byte, if it is whole.
-std::optional<std::string_view> payload_at(std::string_view content, std::size_t at) {
-  if (content.size() - at < header_size) return std::nullopt;
-  std::uint32_t mark = 0;
-  std::uint32_t length = 0;
-  std::uint64_t sum = 0;
-  std::memcpy(&mark, content.data() + at, sizeof mark);
-  std::memcpy(&length, content.data() + at + 4, sizeof length);
-  std::memcpy(&sum, content.data() + at + 8, sizeof sum);
-  if (mark != frame_mark || content.size() - at - header_size < length) return std::nullopt;
-  const auto payload = content.substr(at + header_size, length);
-  if (XXH64(payload.data(), payload.size(), length) != sum) return std::nullopt;
-  return payload;
-}
-
 bool has_frame_after(std::string_view content, std::size_t at) {
   std::string_view mark(reinterpret_cast<const char*>(&frame_mark), sizeof frame_mark);
   for (at = content.find(mark, at + 1); at != std::string_view::npos;
@@ -49,24 +17,6 @@
   return false;
 }
 
-auto corrupted(const std::string& file, std::size_t at, const std::string& cause) {
-  return failure(error_kind::corrupted, file + ": byte " + std::to_string(at), cause);
-}
-
-// A file that is replaced as a whole is one frame.
-template <class Message>
-result<std::optional<Message>> read_message(const storage& files, const std::string& name) {
-  ZINNIA_TRY(content, files.read(name));
-  if (!content) return std::optional<Message>();
-  const auto payload = payload_at(*content, 0);
-  if (!payload || payload->size() + header_size != content->size())
-    return corrupted(name, 0, "wrong checksum or length");
-  Message out;
-  if (!out.ParseFromArray(payload->data(), static_cast<int>(payload->size())))
-    return corrupted(name, header_size, "not a readable message");
-  return std::optional<Message>(std::move(out));
-}
-
 result<void> take_frame(std::string_view payload, std::size_t at,
                         std::vector<wire::log_entry>& entries) {
   wire::log_frame frame;
@@ -123,7 +73,7 @@
       break;
     }
     ZINNIA_TRY(take_frame(*payload, at, out.entries));
-    at += header_size + payload->size();
+    at += frame_header_size + payload->size();
   }
   if (out.snapshot) {
     const bool had_entries = !out.entries.empty();
