control, flow: a restarted group serves what it recalls

Cause: after a loss of all power callers waited for an election and for the reports of all upstreams. Ruled out: late starts of processes (they start in 0.5 s), rotation of entry hosts (packets arrive from their start on), elections (0.2 s after the third start). Change: a control host saves the committed declaration and its upstreams, and serves them marked as recalled until it hears from a quorum (R39).

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -107,6 +107,20 @@
   /// The declaration of packet flows that this host has applied; version 0 for none.
   const wire::versioned_declaration& flows() const { return flows_; }
 
+  /// Takes what this host knew before it started. It serves entry hosts until a quorum
+  /// has been heard from (docs/design.md R39).
+  void recall(time_point now, wire::recalled_view view);
+  /// What this host would want to recall after a restart.
+  wire::recalled_view view(std::uint64_t wall_ms) const;
+  /// Changes when view() does.
+  struct view_position {
+    std::uint64_t version = 0;
+    std::uint64_t upstreams = 0;
+
+    friend bool operator==(const view_position&, const view_position&) = default;
+  };
+  view_position position_of_view() const;
+
   /// A host outside the group asks to be taken in.
   wire::join_reply join(time_point now, const wire::join_request& request);
   /// The request that this host sends while it has no place in a group.
@@ -166,6 +180,8 @@
   void forget_silent_hosts(time_point now);
   void maintain_group(time_point now);
   void decode_flows();
+  /// The newest declaration that is known to be committed.
+  const wire::flow_declaration& committed_declaration() const;
 
   control_host_settings settings_;
   log_store store_;
@@ -186,6 +202,8 @@
   std::optional<group_policy> group_;
   std::uint64_t group_changes_ = 0;
   wire::versioned_declaration flows_;
+  wire::flow_declaration recalled_; ///< in force before this host started
+  time_point started_;
   upstream_directory upstreams_;
 };
 
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -69,6 +69,8 @@
 
   /// Puts a declaration in force; one that is not newer changes nothing.
   bool apply(const wire::flow_declaration& declaration);
+  /// The declaration in force is at least as new as one that a quorum has confirmed.
+  void confirm() { is_confirmed_ = true; }
   /// True when the content of the directory changed.
   bool learn(time_point now, const wire::upstream_news& news);
   void tick(time_point now);
@@ -103,6 +105,7 @@
   flow_table flows_;
   std::unordered_map<std::uint64_t, evidence> evidence_;
   std::map<std::string, std::vector<std::uint64_t>> ready_; ///< upstreams by service
+  bool is_confirmed_ = false;                               ///< the declaration in force
   std::optional<time_point> last_news_;
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
--- a/include/zinniarelay/flow/readiness.h
+++ b/include/zinniarelay/flow/readiness.h
@@ -6,6 +6,13 @@
 
 namespace zinnia {
 
+/// How sure a control host is that its declaration is the newest.
+enum class declaration_trust {
+  confirmed,  ///< it hears from a quorum
+  recalled,   ///< it has just started and knows what was committed before
+  unconfirmed ///< it has lost its quorum
+};
+
 /// Decides when an entry host takes packets and when a stopping one may end. Once
 /// ready it stays so until it stops: each change moves the flows of a whole zone.
 class readiness {
@@ -25,7 +32,7 @@
   readiness(const settings& values, time_point started) : values_(values), started_(started) {}
 
   /// True when a declaration of a control host may be put in force.
-  bool is_acceptable(time_point now, bool is_confirmed, bool has_declaration) const;
+  bool is_acceptable(time_point now, declaration_trust trust, bool has_declaration) const;
   void set_serving(bool has_declaration, bool has_upstreams);
   void stop(time_point now);
 
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -71,6 +71,7 @@
   control_host out(files, settings, raft_node(settings.raft, std::move(stored), node_engine, now),
                    engine);
   out.cut_bytes_ = cut_bytes;
+  out.started_ = now;
   if (snapshot) {
     ZINNIA_TRY(state, control_state::decode(snapshot->state()));
     out.state_ = std::move(state);
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -16,6 +16,9 @@
 // A host without contact to a quorum for this long may have been replaced, and asks
 // to be taken in again.
 constexpr milliseconds longest_quorum_age{1'000};
+// Without contact to a quorum for this long after its start, a host is cut off, and the
+// others may have moved on.
+constexpr milliseconds recall_validity{3'000};
 
 std::string compressed(const std::string& content) {
   std::ostringstream out;
@@ -99,6 +102,35 @@
                           std::to_string(state_.flows().version()) + " is unreadable");
 }
 
+// What is recalled after a start.
+
+void control_host::recall(time_point now, wire::recalled_view view) {
+  recalled_ = std::move(*view.mutable_declaration());
+  wire::upstream_news known;
+  known.mutable_reports()->Swap(view.mutable_upstreams());
+  upstreams_.merge(now, known);
+}
+
+wire::recalled_view control_host::view(std::uint64_t wall_ms) const {
+  wire::recalled_view out;
+  out.set_saved_ms(wall_ms);
+  *out.mutable_declaration() = committed_declaration();
+  upstreams_.for_each([&](const auto& it) {
+    if (it.report.condition != upstream_report::state::gone)
+      *out.add_upstreams() = it.report.to_wire();
+  });
+  return out;
+}
+
+control_host::view_position control_host::position_of_view() const {
+  return {committed_declaration().version(), upstreams_.content_position()};
+}
+
+const wire::flow_declaration& control_host::committed_declaration() const {
+  const auto& applied = flows_.declaration();
+  return applied.version() >= recalled_.version() ? applied : recalled_;
+}
+
 // Reads that a quorum confirms.
 
 std::optional<control_host::read_ticket> control_host::begin_read(time_point now) {
@@ -193,16 +225,18 @@
   out.set_position(upstreams_.position());
   const auto position = request.source() == source_ ? request.position() : 0;
   *out.mutable_upstreams() = upstreams_.news_since(position);
-  if (flows_.declaration().version() > request.version())
-    *out.mutable_declaration() = flows_.declaration();
-  out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
+  if (const auto& known = committed_declaration(); known.version() > request.version())
+    *out.mutable_declaration() = known;
+  const auto quorum_age = node_.quorum_age(now);
+  out.set_quorum_age_ms(milliseconds_field(quorum_age));
+  out.set_recalled(quorum_age == milliseconds::max() && now - started_ < recall_validity);
   for (auto& it : member_addresses(request.zone()))
     out.add_control_hosts(std::move(it));
   return out;
 }
 
 bool control_host::has_urgent_news(const wire::news_request& request) const {
-  return request.source() != source_ || flows_.declaration().version() > request.version() ||
+  return request.source() != source_ || committed_declaration().version() > request.version() ||
          upstreams_.content_position() > request.position();
 }
 
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -46,6 +46,9 @@
   if (routes_.version() == 0)
     return {action::drop, reason::not_ready, {}, nullptr, 0, std::nullopt};
   const auto* route = routes_.find(head.destination);
+  // A newer declaration may have the route; the caller's next copy finds out.
+  if (route == nullptr && !is_confirmed_)
+    return {action::drop, reason::not_ready, {}, nullptr, 0, std::nullopt};
   if (route == nullptr) return {action::reset, reason::no_route, {}, nullptr, 0, std::nullopt};
   const auto key = head.key();
   std::uint64_t avoided = 0;
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -20,11 +20,6 @@
 constexpr int max_waiting_operations = 64;
 constexpr int max_message_bytes = 64 * 1024 * 1024;
 
-std::uint64_t wall_ms() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
-}
-
 class server_impl final : public control_server,
                           public wire::operations::Service,
                           public wire::distribution::Service,
--- a/services/controld/flow_front.cpp
+++ b/services/controld/flow_front.cpp
@@ -21,11 +21,6 @@
 constexpr milliseconds link_interval{200};
 constexpr milliseconds longest_news_wait{2'000};
 
-std::uint64_t wall_ms() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
-}
-
 const char* name_of(flow_operations::outcome value) {
   switch (value) {
   case flow_operations::outcome::done:
@@ -85,6 +80,7 @@
 }
 
 void flow_front::start() {
+  start_recalling();
   workers_.emplace_back([this] { run_links(); });
   workers_.emplace_back([this] { run_joining(); });
 }
@@ -101,6 +97,29 @@
     it.join();
   workers_.clear();
   links_.clear();
+  recall_.reset();
+}
+
+// Without the folder the host serves as well, only later after a restart.
+void flow_front::start_recalling() {
+  if (settings_.recall_folder.empty()) return;
+  auto files = file_storage::open(settings_.recall_folder);
+  if (!files.has_value()) {
+    log_warning("recall_unavailable").with(files.error());
+    return;
+  }
+  auto view = recall_store(files.value()).load(wall_ms());
+  if (!view.has_value()) {
+    log_warning("recall_unavailable").with(view.error());
+  } else if (view.value()) {
+    log_info("recalled")
+        .with("version", view.value()->declaration().version())
+        .with("upstreams", view.value()->upstreams_size())
+        .with("saved_ms", view.value()->saved_ms());
+    const std::lock_guard lock(shared_.mutex);
+    shared_.host.recall(monotonic_now(), std::move(*view.value()));
+  }
+  recall_ = std::make_unique<recall_writer>(shared_, std::move(files.value()));
 }
 
 void flow_front::note_progress() {
@@ -112,6 +131,7 @@
       .with("routes", shared_.host.flows().declaration().routes_size())
       .with("applied_index", shared_.host.applied_index());
   news_.notify_all();
+  if (recall_) recall_->wake();
 }
 
 void flow_front::set_seeds(std::vector<std::string> seeds) {
@@ -262,20 +282,26 @@
         .with("address", value.address)
         .with("state", name_of(value.condition));
     news_.notify_all();
+    if (recall_) recall_->wake();
     for (auto& [address, link] : links_)
       link->wake();
   }
   if (value.condition == state::ready) return {outcome::done, ""};
-  // The acknowledgement binds all hosts; it must not die with this one.
+  // The acknowledgement binds all hosts; it must not die with this one, nor be undone by
+  // what this one recalls after a restart.
   const auto* held = shared_.host.upstreams().find(value.incarnation());
   const auto position = held == nullptr ? 0 : held->content_position;
   const bool is_known = shared_.changed.wait_for(
-      lock, answer_limit, [&] { return is_known_elsewhere(position) || is_stopping_; });
+      lock, answer_limit, [&] { return is_safe_to_confirm(position) || is_stopping_; });
   if (is_known) return {outcome::done, ""};
   log_warning("upstream_leave_unconfirmed").with("upstream", value.id);
   return {outcome::unsure, "no other control host has confirmed the report"};
 }
 
+bool flow_front::is_safe_to_confirm(std::uint64_t position) const {
+  return is_known_elsewhere(position) && (!recall_ || recall_->has_saved(position));
+}
+
 bool flow_front::is_known_elsewhere(std::uint64_t position) const {
   if (shared_.host.node().membership().everyone().size() <= 1) return true;
   return std::any_of(links_.begin(), links_.end(),
@@ -294,7 +320,10 @@
   const std::lock_guard lock(shared_.mutex);
   const auto before = shared_.host.upstreams().content_position();
   *reply = shared_.host.take_spread(monotonic_now(), *request);
-  if (shared_.host.upstreams().content_position() != before) news_.notify_all();
+  if (shared_.host.upstreams().content_position() != before) {
+    news_.notify_all();
+    if (recall_) recall_->wake();
+  }
   return grpc::Status::OK;
 }
 
--- a/services/controld/flow_front.h
+++ b/services/controld/flow_front.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "flow.grpc.pb.h"
+#include "host_state.h"
+#include "recall_writer.h"
 #include "zinniarelay/control/control_host.h"
 #include "zinniarelay/control/flow_operations.h"
 #include "zinniarelay/observe/metric_registry.h"
@@ -17,18 +19,10 @@
 
 namespace zinnia::controld {
 
-/// The control host and what guards it.
-struct host_state {
-  explicit host_state(control_host value) : host(std::move(value)) {}
-
-  std::mutex mutex;
-  std::condition_variable changed;
-  control_host host;
-};
-
 struct flow_front_settings {
   std::string address;            ///< gRPC of this host
   std::vector<std::string> seeds; ///< gRPC of control hosts that may know the group
+  std::string recall_folder;      ///< empty: nothing is kept for the next start
 };
 
 class spread_link;
@@ -75,10 +69,12 @@
   wire::version_reply apply_here(const wire::version_request& request);
   wire::read_reply read_here();
   wire::read_reply read_index();
+  bool is_safe_to_confirm(std::uint64_t position) const;
   bool is_known_elsewhere(std::uint64_t position) const;
   void run_links();
   void refresh_links();
   void run_joining();
+  void start_recalling();
   std::optional<wire::join_reply> ask_to_join(const std::string& address,
                                               const wire::join_request& request);
 
@@ -91,6 +87,7 @@
   std::mutex stub_mutex_;
   std::map<std::string, std::shared_ptr<stub>> stubs_;
   std::map<std::string, std::unique_ptr<spread_link>> links_;
+  std::unique_ptr<recall_writer> recall_;
   std::vector<std::thread> workers_;
   std::uint64_t announced_version_ = 0;
   metric_registry metrics_;
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -63,6 +63,7 @@
 controld::flow_front_settings front_settings_of(const control_settings& settings) {
   controld::flow_front_settings out;
   out.address = settings.address().to_string();
+  out.recall_folder = (settings.data_folder() / "recall").string();
   if (!settings.group()) return out;
   for (const auto& it : settings.group()->seeds)
     out.seeds.push_back(it.to_string());
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -21,6 +21,23 @@
   return out;
 }
 
+declaration_trust trust_of(const wire::news_reply& reply) {
+  if (reply.quorum_age_ms() <= confirmed_quorum_ms) return declaration_trust::confirmed;
+  return reply.recalled() ? declaration_trust::recalled : declaration_trust::unconfirmed;
+}
+
+const char* name_of(declaration_trust value) {
+  switch (value) {
+  case declaration_trust::confirmed:
+    return "confirmed";
+  case declaration_trust::recalled:
+    return "recalled";
+  case declaration_trust::unconfirmed:
+    return "unconfirmed";
+  }
+  return "unknown";
+}
+
 flow_router_settings router_settings(const flow_settings& settings) {
   flow_router_settings out;
   out.zone = settings.zone_name();
@@ -110,17 +127,18 @@
 void flow_daemon::take_news(time_point now) {
   for (const auto& it : news_->take()) {
     router_.learn(now, it.upstreams());
+    const auto trust = trust_of(it);
     if (it.has_declaration()) {
-      const bool is_confirmed = it.quorum_age_ms() <= confirmed_quorum_ms;
       const bool has_declaration = router_.routes().version() > 0;
-      if (readiness_.is_acceptable(now, is_confirmed, has_declaration) &&
-          router_.apply(it.declaration()))
+      if (readiness_.is_acceptable(now, trust, has_declaration) && router_.apply(it.declaration()))
         log_info("declaration_in_force")
             .with("version", it.declaration().version())
             .with("routes", it.declaration().routes_size())
             .with("source", it.source())
+            .with("trust", name_of(trust))
             .with("quorum_age_ms", it.quorum_age_ms());
     }
+    if (trust == declaration_trust::confirmed) router_.confirm();
     news_->set_version(router_.routes().version());
   }
   readiness_.set_serving(router_.routes().version() > 0, router_.upstreams().size() > 0);
--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -28,6 +28,7 @@
 flow_router serving_router(int upstreams, std::uint64_t seed = 1) {
   auto out = router_of(seed);
   out.apply(declaration_of(1));
+  out.confirm();
   std::vector<upstream_report> reports;
   for (int n = 1; n <= upstreams; ++n)
     reports.push_back(report_of("i-" + std::to_string(n), static_cast<std::uint16_t>(80 + n)));
@@ -94,6 +95,18 @@
   }
 }
 
+// Guards against a refusal that is not true: after a start the declaration in force may
+// lack a route that a newer one has.
+BOOST_AUTO_TEST_CASE(unknown_route_is_refused_only_by_a_confirmed_declaration) {
+  auto router = router_of();
+  router.apply(declaration_of(1));
+  auto elsewhere = opening(2);
+  elsewhere.destination.port = 8443;
+  BOOST_TEST((router.route(at({}), elsewhere).what == action::drop));
+  router.confirm();
+  BOOST_TEST((router.route(at({}), elsewhere).why == reason::no_route));
+}
+
 // Guards against a caller that waits for its deadline though nothing can serve it.
 BOOST_AUTO_TEST_CASE(unservable_flow_is_reset_at_once) {
   auto router = serving_router(0);
--- a/tests/libraries/flow/readiness_test.cpp
+++ b/tests/libraries/flow/readiness_test.cpp
@@ -15,10 +15,17 @@
 // that is cut off, and against a cut-off zone that never serves.
 BOOST_AUTO_TEST_CASE(first_declaration_is_confirmed_or_late) {
   const readiness host({}, at({}));
-  BOOST_TEST(host.is_acceptable(at({}), true, false));
-  BOOST_TEST(!host.is_acceptable(at(milliseconds(1'000)), false, false));
-  BOOST_TEST(host.is_acceptable(at(milliseconds(1'000)), false, true));
-  BOOST_TEST(host.is_acceptable(at(milliseconds(5'000)), false, false));
+  using trust = declaration_trust;
+  BOOST_TEST(host.is_acceptable(at({}), trust::confirmed, false));
+  BOOST_TEST(!host.is_acceptable(at(milliseconds(1'000)), trust::unconfirmed, false));
+  BOOST_TEST(host.is_acceptable(at(milliseconds(1'000)), trust::unconfirmed, true));
+  BOOST_TEST(host.is_acceptable(at(milliseconds(5'000)), trust::unconfirmed, false));
+}
+
+// Guards against a loss of all power after which entry hosts wait for an election.
+BOOST_AUTO_TEST_CASE(recalled_declaration_is_taken_at_once) {
+  const readiness host({}, at({}));
+  BOOST_TEST(host.is_acceptable(at({}), declaration_trust::recalled, false));
 }
 
 // Guards against readiness that changes with the table of upstreams: each change
