control: a host outlives failed writes

Ruled out: to go on with the log in memory; the answers would rest on entries that a restart loses. Change: the host leaves the group, serves what is committed, and every 500 ms writes its files again and takes its state from them, as a restart does. A folder that is not its own any more ends the process as before. Tests: host_outlives_failed_writes, emptied_folder_is_not_reopened, and 10,000 generated schedules with failing disks.

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -68,8 +68,13 @@
   std::vector<wire::raft_message> take_messages();
   /// What is to be logged since the last call.
   std::vector<std::string> take_complaints();
-  /// Set after a write failed; the process must stop, since its memory is ahead of its disk.
+  /// Set after a write failed. The log in memory is ahead of the disk then; the host takes no
+  /// part in the group until reopen() succeeds, and goes on to serve what is committed.
   const std::optional<error>& fault() const { return fault_; }
+  /// Takes the group's state from the disk again, as a restart does, and keeps the upstreams.
+  /// Fails with error_kind::io while the disk fails, and with another kind when the folder is
+  /// not this host's any more.
+  result<void> reopen(time_point now);
 
   submission<wire::apply_reply> apply(time_point now, std::uint64_t wall_ms,
                                       const wire::apply_request& request);
--- a/include/zinniarelay/replication/log_store.h
+++ b/include/zinniarelay/replication/log_store.h
@@ -23,10 +23,16 @@
 public:
   explicit log_store(storage& files) : files_(&files) {}
 
+  storage& files() const { return *files_; }
+
   /// Reads everything and cuts an append that a crash left incomplete. Fails with
   /// error_kind::corrupted, naming file and byte, when synced content is damaged.
   result<stored_state> load();
 
+  /// Writes and syncs every file again: after a failed sync the content that is read may not
+  /// be on the disk.
+  result<void> resync();
+
   result<void> write_identity(const wire::node_identity& identity);
   /// Appends entries; the first may replace an earlier entry of its index, which
   /// drops that entry and all after it.
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -81,6 +81,23 @@
   return out;
 }
 
+result<void> control_host::reopen(time_point now) {
+  ZINNIA_TRY(stored, store_.load());
+  // An emptied folder must not get a new identity under this host's number (R25).
+  if (!stored.identity || stored.identity->identity() != node_.identity().identity())
+    return failure(error_kind::conflict, "data folder", "is not the one this host started with");
+  ZINNIA_TRY(store_.resync());
+  ZINNIA_TRY(opened, open(store_.files(), settings_, random_engine(engine_()), now));
+  opened.source_ = source_;
+  opened.hosts_ = std::move(hosts_);
+  opened.sync_count_ = sync_count_;
+  opened.group_changes_ = group_changes_;
+  opened.recalled_ = committed_declaration();
+  opened.upstreams_ = std::move(upstreams_);
+  *this = std::move(opened);
+  return success();
+}
+
 control_host::control_host(storage& files, const control_host_settings& settings, raft_node node,
                            random_engine engine)
     : settings_(settings), store_(files), node_(std::move(node)), engine_(engine) {
--- a/libraries/replication/log_store.cpp
+++ b/libraries/replication/log_store.cpp
@@ -90,6 +90,15 @@
   return out;
 }
 
+result<void> log_store::resync() {
+  for (const auto* name : {identity_file, snapshot_file, log_file}) {
+    ZINNIA_TRY(content, files_->read(name));
+    if (!content) continue;
+    ZINNIA_TRY(files_->replace(name, *content));
+  }
+  return success();
+}
+
 result<void> log_store::write_identity(const wire::node_identity& identity) {
   return files_->replace(identity_file, frame_of(identity.SerializeAsString()));
 }
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -17,6 +17,7 @@
 
 // Longer than an election, shorter than the 3 s in which a change has to be in force.
 constexpr milliseconds operation_wait{2'500};
+constexpr milliseconds reopening_interval{500};
 constexpr int max_waiting_operations = 64;
 constexpr int max_message_bytes = 64 * 1024 * 1024;
 
@@ -52,9 +53,10 @@
 
   std::optional<error> tick() override {
     const std::lock_guard lock(shared_.mutex);
-    shared_.host.tick(monotonic_now());
+    const auto now = monotonic_now();
+    shared_.host.tick(now);
     carry_out();
-    return shared_.host.fault();
+    return shared_.host.fault() ? recover(now) : std::nullopt;
   }
 
   flow_operations& flows() override { return flows_; }
@@ -155,6 +157,21 @@
   }
 
 private:
+  std::optional<error> recover(time_point now) {
+    if (!next_reopening_) {
+      log_error("storage_failed").with(*shared_.host.fault());
+      next_reopening_ = now + reopening_interval;
+    }
+    if (now < *next_reopening_) return std::nullopt;
+    const auto reopened = shared_.host.reopen(now);
+    if (!reopened.has_value() && reopened.error().kind != error_kind::io) return reopened.error();
+    next_reopening_ = now + reopening_interval;
+    if (!reopened.has_value()) return std::nullopt;
+    next_reopening_.reset();
+    log_info("storage_regained").with("applied_index", shared_.host.applied_index());
+    return std::nullopt;
+  }
+
   void carry_out(std::uint64_t asking = 0, wire::raft_message* answer = nullptr) {
     for (const auto& it : shared_.host.take_complaints())
       log_complaint(it);
@@ -220,6 +237,7 @@
   std::map<std::uint64_t, std::unique_ptr<peer_link>> peers_;
   std::vector<std::unique_ptr<peer_link>> retired_;
   std::map<std::string, time_point> complained_;
+  std::optional<time_point> next_reopening_; ///< set while writes fail
   int waiting_ = 0;
   bool is_stopping_ = false;
   std::unique_ptr<grpc::Server> server_;
--- a/services/controld/control_server.h
+++ b/services/controld/control_server.h
@@ -19,7 +19,8 @@
 
   virtual ~control_server() = default;
 
-  /// Advances time and returns the fault that the process must stop for.
+  /// Advances time and returns the fault that the process must stop for. A failed write is
+  /// none: the disk may take writes again.
   virtual std::optional<error> tick() = 0;
   virtual flow_operations& flows() = 0;
   virtual wire::metrics_reply metrics() = 0;
--- a/tests/libraries/control/control_host_test.cpp
+++ b/tests/libraries/control/control_host_test.cpp
@@ -181,6 +181,36 @@
   BOOST_TEST(group.host(2).state().digest() == group.host(1).state().digest());
 }
 
+// Guards against a host that ends because its disk is full for a while, and against one
+// that goes on with a log which its disk does not hold.
+BOOST_FIXTURE_TEST_CASE(host_outlives_failed_writes, founded) {
+  group.keeps_failed_hosts = true;
+  const auto failed = group.leader();
+  group.members.at(failed)->files.crash_after(0, 7);
+  const auto lost = control_group::request_of("a", 0, {80});
+  group.submit(failed, lost);
+  BOOST_TEST_REQUIRE(group.has_failed(failed));
+  BOOST_TEST((group.host(failed).reopen(group.now).error().kind == error_kind::io));
+  group.run(milliseconds(3'000));
+  BOOST_TEST(group.leader() != failed);
+  group.reopen(failed);
+  BOOST_TEST_REQUIRE(!group.has_failed(failed));
+  BOOST_TEST(group.apply(control_group::request_of("b", 0, {81}), milliseconds(3'000)).result() ==
+             wire::apply_reply::accepted);
+  group.run(milliseconds(2'000));
+  BOOST_TEST(group.host(failed).state().digest() == group.host(group.leader()).state().digest());
+  BOOST_TEST(group.history.violation() == "");
+}
+
+// Guards against a second identity under a number whose disk was lost.
+BOOST_FIXTURE_TEST_CASE(emptied_folder_is_not_reopened, founded) {
+  group.keeps_failed_hosts = true;
+  group.members.at(1)->files.lose();
+  const auto writes = group.members.at(1)->files.write_count();
+  BOOST_TEST((group.host(1).reopen(group.now).error().kind == error_kind::conflict));
+  BOOST_TEST(group.members.at(1)->files.write_count() == writes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/proofs/replication_proofs.cpp
+++ b/tests/proofs/replication_proofs.cpp
@@ -369,14 +369,14 @@
   return check.verdict_of(group);
 }
 
-verdict generated_schedules(std::uint64_t seed) {
+verdict run_schedules(std::uint64_t seed, support::random_schedule::failed_hosts kept) {
   constexpr std::uint64_t schedules = 10'000;
   constexpr int actions = 350;
   std::uint64_t events = 0;
   std::uint64_t elections = 0;
   std::uint64_t accepted = 0;
   for (std::uint64_t n = seed; n < seed + schedules; ++n) {
-    support::random_schedule schedule(n);
+    support::random_schedule schedule(n, kept);
     const auto found = schedule.run(actions);
     if (!found.empty()) return {false, "schedule " + std::to_string(n) + ": " + found};
     for (const auto& it : schedule.group().history.events) {
@@ -390,6 +390,14 @@
                     " accepted answers"};
 }
 
+verdict generated_schedules(std::uint64_t seed) {
+  return run_schedules(seed, support::random_schedule::failed_hosts::restart);
+}
+
+verdict schedules_with_failing_disks(std::uint64_t seed) {
+  return run_schedules(seed, support::random_schedule::failed_hosts::reopen);
+}
+
 const registration added({
     {"P8", "zone partitioned, then healed", 1, partitioned_zone_catches_up},
     {"P8", "equal sides, one host down, operators race", 2, equal_sides_with_racing_operators},
@@ -401,6 +409,8 @@
     {"P8", "torn write, then restart, 60 times", 8, torn_write_then_restart},
     {"P8", "restart of all after 700 changes", 9, restart_after_hundreds_of_changes},
     {"P8", "10000 generated schedules of faults", 1, generated_schedules},
+    {"P8", "10000 generated schedules, hosts outlive failed writes", 20'001,
+     schedules_with_failing_disks},
 });
 
 } // namespace
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -85,6 +85,25 @@
 
   void stop(std::uint64_t id) { members.at(id)->host.reset(); }
 
+  bool has_failed(std::uint64_t id) const {
+    const auto& it = *members.at(id);
+    return it.host != nullptr && it.host->fault();
+  }
+
+  /// The disk of a host that has failed takes writes again.
+  void reopen(std::uint64_t id) {
+    auto& it = *members.at(id);
+    it.files.restart();
+    const auto reopened = it.host->reopen(now);
+    if (!reopened.has_value()) {
+      it.open_failure = reopened.error().place + ": " + reopened.error().cause;
+      return stop(id);
+    }
+    it.seen_applied = it.host->applied_index();
+    it.seen_term_led = 0;
+    it.seen_last = {};
+  }
+
   bool is_up(std::uint64_t id) const {
     const auto& it = *members.at(id);
     return it.host != nullptr && !it.is_frozen;
@@ -246,7 +265,10 @@
     auto& it = *members.at(id);
     auto& host = *it.host;
     // After a failed write its memory is ahead of its disk; nobody may see it.
-    if (host.fault()) return stop(id);
+    if (host.fault()) {
+      if (!keeps_failed_hosts) stop(id);
+      return;
+    }
     const auto& log = host.node().log();
     const std::pair last(log.last_index(), log.last_term());
     if (last != it.seen_last) {
@@ -291,6 +313,7 @@
   control_history history;
   std::vector<std::string> complaints;
   bool is_polling = false;
+  bool keeps_failed_hosts = false; ///< until reopen(); otherwise they stop
   int refused_updates = 0;
   std::size_t message_count = 0;
   std::size_t byte_count = 0;
--- a/tests/support/random_schedule.h
+++ b/tests/support/random_schedule.h
@@ -12,9 +12,14 @@
 /// race and resend, and changes of members. Then everything heals.
 class random_schedule {
 public:
-  explicit random_schedule(std::uint64_t seed)
+  /// What becomes of a host whose disk has failed.
+  enum class failed_hosts { restart, reopen };
+
+  explicit random_schedule(std::uint64_t seed, failed_hosts kept = failed_hosts::restart)
       : group_(seed, seed % 3 == 0 ? 5 : 3, small_settings()), engine_(seed + 1),
-        may_lose_disk_(seed % 2 == 0) {}
+        may_lose_disk_(seed % 2 == 0) {
+    group_.keeps_failed_hosts = kept == failed_hosts::reopen;
+  }
 
   /// The first violation, or an empty string.
   std::string run(int actions) {
@@ -114,11 +119,13 @@
   }
 
   void restart() {
-    for (const auto& [id, it] : group_.members)
+    for (const auto& [id, it] : group_.members) {
+      if (group_.has_failed(id)) return group_.reopen(id);
       if (it->host == nullptr) {
         it->is_frozen = false;
         return group_.start(id);
       }
+    }
   }
 
   void cut_or_mend() {
@@ -179,6 +186,7 @@
     for (const auto& [id, it] : group_.members) {
       it->is_frozen = false;
       it->files.restart();
+      if (group_.has_failed(id)) group_.reopen(id);
       if (it->host == nullptr) group_.start(id);
       if (it->host == nullptr) return "does not restart: " + it->open_failure;
     }
