soak: real processes, faults from outside, promises checked

New for it: listen_address of control hosts (they may be reached at another address than they bind), stand-ins that tell the flow's opener by its sequence, report to several control hosts, drain as long as told and write what must not happen.

--- a/include/zinniarelay/config/control_settings.h
+++ b/include/zinniarelay/config/control_settings.h
@@ -40,7 +40,9 @@
   /// 0 when the control group forms itself and the data folder names the host.
   control_id control() const { return control_; }
   zone_id availability_zone() const { return availability_zone_; }
-  endpoint address() const { return address_; } ///< gRPC
+  endpoint address() const { return address_; } ///< gRPC, as other hosts reach it
+  /// gRPC is bound here; differs from address() behind an address translation.
+  endpoint listen_address() const { return listen_address_; }
   std::uint64_t cluster() const { return cluster_; }
   const std::filesystem::path& data_folder() const { return data_folder_; }
   /// Empty on a host that joins a running cluster as a learner.
@@ -63,6 +65,7 @@
   control_id control_;
   zone_id availability_zone_;
   endpoint address_;
+  endpoint listen_address_;
   std::uint64_t cluster_ = 0;
   std::filesystem::path data_folder_;
   std::vector<founding_member> founding_members_;
--- a/libraries/config/control_settings.cpp
+++ b/libraries/config/control_settings.cpp
@@ -59,6 +59,7 @@
   out.operator_address_ = map.address("operator_address", presence::optional);
   out.metrics_address_ = map.address("metrics_address", presence::optional);
   out.address_ = map.address("address", presence::required).value_or(endpoint{});
+  out.listen_address_ = map.address("listen_address", presence::optional).value_or(out.address_);
   out.cluster_ = map.number("cluster", presence::required, identifier_range).value_or(0);
   // The folder is never created here: a mistyped path would look like a lost
   // disk, and a voter without its identity must not vote (docs/design.md R25).
--- a/services/controld/flow_front.cpp
+++ b/services/controld/flow_front.cpp
@@ -294,7 +294,11 @@
   const bool is_known = shared_.changed.wait_for(
       lock, answer_limit, [&] { return is_safe_to_confirm(position) || is_stopping_; });
   if (is_known) return {outcome::done, ""};
-  log_warning("upstream_leave_unconfirmed").with("upstream", value.id);
+  auto line = log_warning("upstream_leave_unconfirmed");
+  line.with("upstream", value.id).with("position", position);
+  line.with("is_saved", !recall_ || recall_->has_saved(position));
+  for (const auto& [address, link] : links_)
+    line.with("control_host", address).with("confirmed", link->confirmed());
   return {outcome::unsure, "no other control host has confirmed the report"};
 }
 
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -116,13 +116,15 @@
   // Blocked before any thread starts, so that only the loop below receives them.
   const auto signals = stop_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // A limit on file sizes is reported by the write that meets it.
+  std::signal(SIGXFSZ, SIG_IGN);
   auto host = control_host::open(files, settings, seeded_engine(), monotonic_now());
   if (!host.has_value()) return report(host.error());
   if (host.value().cut_bytes() > 0)
     log_warning("incomplete_append_cut").with("bytes", host.value().cut_bytes());
   const auto& address = settings.self.address();
-  auto server =
-      controld::control_server::start(std::move(host.value()), address, front_settings_of(given));
+  auto server = controld::control_server::start(
+      std::move(host.value()), given.listen_address().to_string(), front_settings_of(given));
   if (!server.has_value()) return report(server.error());
   auto http = start_http(given, *server.value());
   if (!http.has_value()) return report(http.error());
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -159,4 +159,16 @@
   BOOST_TEST(places_of(entry_settings::load(path()).error()).front() == "0:0 not a regular file");
 }
 
+// Guards against a host behind an address translation that binds what others connect to.
+BOOST_FIXTURE_TEST_CASE(listen_address_differs_from_the_address_only_when_it_is_set,
+                        settings_folder) {
+  const auto plain = control_settings::load(write("control.yaml", good_control));
+  BOOST_TEST((plain.value().listen_address() == plain.value().address()));
+  const auto translated = control_settings::load(
+      write("translated.yaml", std::string(good_control) + "listen_address: 10.0.0.1:9001\n"));
+  BOOST_TEST_REQUIRE(translated.has_value());
+  BOOST_TEST(translated.value().listen_address().to_string() == "10.0.0.1:9001");
+  BOOST_TEST(translated.value().address().to_string() == "127.0.0.1:9001");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libraries/platform/operator_api_test.cpp
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -59,6 +59,26 @@
 
 BOOST_FIXTURE_TEST_SUITE(operator_api_test, api_fixture)
 
+// Guards against stand-ins of operators that send something else than operators do.
+BOOST_AUTO_TEST_CASE(encoded_declaration_is_read_back_as_it_was) {
+  wire::flow_declaration sent;
+  sent.set_version(9);
+  sent.set_idle_timeout_ms(15'000);
+  sent.add_services()->set_name("core");
+  auto& route = *sent.add_routes();
+  route.set_name("r-1");
+  route.set_address(0xC612'0001);
+  route.set_port(8080);
+  route.set_kind(wire::unsafe);
+  route.set_timeout_ms(3'000);
+  auto& share = *route.add_services();
+  share.set_service("core");
+  share.set_weight(1);
+  const auto read = platform::decode_declaration(platform::encode_declaration(sent));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read.value().SerializeAsString() == sent.SerializeAsString());
+}
+
 // Guards against fields of a declaration that are lost or read as something else.
 BOOST_AUTO_TEST_CASE(declaration_is_decoded_and_kept_as_sent) {
   BOOST_TEST(post("/api/config/replace", declaration) == 200);
--- a/utilities/flowpeer/flow_caller.cpp
+++ b/utilities/flowpeer/flow_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "flow_packet.h"
 
+#include <iostream>
 #include <thread>
 
 namespace zinnia::flowpeer {
@@ -22,10 +23,10 @@
   return flow_caller(options, std::move(socket), engine);
 }
 
-caller_summary flow_caller::run() {
+caller_summary flow_caller::run(const std::atomic<bool>& stop) {
   std::uint32_t started = 0;
-  while (started < options_.flows || !flows_.empty()) {
-    while (started < options_.flows && flows_.size() < options_.at_once)
+  while ((started < options_.flows && !stop) || !flows_.empty()) {
+    while (started < options_.flows && !stop && flows_.size() < options_.at_once)
       start(static_cast<std::uint16_t>(first_port + started++));
     receive();
     const auto now = monotonic_now();
@@ -47,7 +48,8 @@
 
 void flow_caller::start(std::uint16_t port) {
   auto& flow = flows_[port];
-  flow.request = "request " + std::to_string(port);
+  flow.request =
+      "request " + endpoint{options_.address.address, port}.to_string() + ' ' + options_.run;
   flow.started = monotonic_now();
   flow.next_send = flow.started + first_copy;
   packet_head head;
@@ -59,6 +61,7 @@
   packet_head head;
   if (flow.is_open) {
     head.is_answer = true;
+    head.acknowledged = flow.acknowledged;
     flow.next_send = monotonic_now() + request_interval;
     return send(port, flow, head, flow.request);
   }
@@ -81,12 +84,10 @@
 
 bool flow_caller::take(std::uint16_t port, open_flow& flow, const packet_head& head,
                        std::string_view data) {
-  if (head.is_reset) {
-    ++summary_.reset;
-    return true;
-  }
+  if (head.is_reset) return note_reset(port, flow, head);
   flow.route_tag = head.route_tag;
   if (head.is_open) {
+    if (!flow.is_open) flow.acknowledged = head.sequence;
     flow.is_open = true;
     resend(port, flow);
     return false;
@@ -96,6 +97,15 @@
   return flow.has_end && finish(port, flow);
 }
 
+bool flow_caller::note_reset(std::uint16_t port, const open_flow& flow, const packet_head& head) {
+  const bool is_upstreams = head.sequence == upstream_reset_mark;
+  auto& count = is_upstreams ? summary_.reset : flow.is_open ? summary_.broken : summary_.refused;
+  ++count;
+  if (!is_upstreams && flow.is_open)
+    std::cout << "broken port=" << port << " tag=" << flow.route_tag << std::endl;
+  return true;
+}
+
 bool flow_caller::finish(std::uint16_t port, open_flow& flow) {
   std::string answer;
   for (const auto& [offset, part] : flow.parts) {
@@ -109,6 +119,7 @@
     ++summary_.damaged;
   packet_head end;
   end.is_end = end.is_answer = true;
+  end.acknowledged = flow.acknowledged;
   send(port, flow, end, {});
   return true;
 }
--- a/utilities/flowpeer/flow_caller.h
+++ b/utilities/flowpeer/flow_caller.h
@@ -6,6 +6,7 @@
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/packet_head.h"
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -21,11 +22,14 @@
   std::uint32_t flows = 100;
   std::uint32_t at_once = 4;      ///< flows that are open at the same time
   std::size_t answer_bytes = 600; ///< expected of each answer
+  std::string run = "1";          ///< tells the requests of runs at one address apart
 };
 
 struct caller_summary {
   std::uint32_t answered = 0;
-  std::uint32_t reset = 0;
+  std::uint32_t refused = 0; ///< reset by the system before they were open
+  std::uint32_t reset = 0;   ///< by their upstream
+  std::uint32_t broken = 0;  ///< reset by the system while open
   std::uint32_t unanswered = 0;
   std::uint32_t damaged = 0; ///< answers that differ from the expected one
 
@@ -39,13 +43,15 @@
   /// Fails with error_kind::io when the address cannot be bound.
   static result<flow_caller> create(const caller_options& options, random_engine engine);
 
-  caller_summary run();
+  /// Runs until all flows have ended; after a stop was asked for no new one is opened.
+  caller_summary run(const std::atomic<bool>& stop);
 
 private:
   struct open_flow {
     std::string request;
     std::uint32_t route_tag = 0;
-    std::uint32_t copies = 0; ///< of the opening packet
+    std::uint32_t copies = 0;       ///< of the opening packet
+    std::uint32_t acknowledged = 0; ///< sequence of the upstream that answered first
     bool is_open = false;
     time_point started;
     time_point next_send;
@@ -61,6 +67,7 @@
   void receive();
   /// True when the flow has ended.
   bool take(std::uint16_t port, open_flow& flow, const packet_head& head, std::string_view data);
+  bool note_reset(std::uint16_t port, const open_flow& flow, const packet_head& head);
   bool finish(std::uint16_t port, open_flow& flow);
   void send(std::uint16_t port, const open_flow& flow, packet_head head, std::string_view data);
 
--- a/utilities/flowpeer/flow_packet.h
+++ b/utilities/flowpeer/flow_packet.h
@@ -8,6 +8,9 @@
 
 namespace zinnia::flowpeer {
 
+/// Sequence of a reset that an upstream sends, to tell it from those of the system.
+constexpr std::uint32_t upstream_reset_mark = 0xFFFF'FFFF;
+
 /// A packet as it is sent: its head and its data.
 inline std::string encode_packet(packet_head head, std::string_view data) {
   head.data_bytes = data.size();
--- /dev/null
+++ b/utilities/soak/installation.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "child_process.h"
+#include "tcp_proxy.h"
+#include "udp_proxy.h"
+#include "zinniarelay/core/time.h"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace zinnia::soak {
+
+enum class role { control, entry, upstream, caller };
+
+/// A process of the installation, and whether it should run now.
+struct member {
+  role kind = role::control;
+  std::uint32_t number = 1;
+  std::vector<std::string> arguments;
+  std::optional<child_process> process;
+  bool is_ending = false;            ///< asked to end, or killed
+  std::optional<time_point> restart; ///< when it starts again
+  time_point may_fail_until;         ///< its writes fail, so that it may end by itself
+  time_point last_fault;
+
+  std::string name() const;
+};
+
+struct installation_options {
+  std::filesystem::path programs; ///< folder of the daemons and stand-ins
+  std::filesystem::path work;     ///< settings, data and logs
+  std::uint32_t network = 0;      ///< second and third byte of all addresses in 127.0.0.0/8
+  std::uint64_t seed = 1;
+};
+
+/// Control hosts, entry hosts, upstreams and callers as processes on loopback, with
+/// proxies before the hosts.
+class installation {
+public:
+  static constexpr std::uint32_t controls = 4;
+  static constexpr std::uint32_t entries = 4;
+  static constexpr std::uint32_t upstreams = 6;
+  static constexpr std::uint16_t service_port = 443;
+
+  static result<std::unique_ptr<installation>> create(const installation_options& options);
+
+  /// Starts what is due and notes what has ended; a process that ended without being asked
+  /// to is an own end.
+  void supervise(time_point now);
+
+  member& get(role kind, std::uint32_t number);
+  tcp_proxy& control_proxy(std::uint32_t number) { return *control_proxies_.at(number - 1); }
+  tcp_proxy& operator_proxy(std::uint32_t number) { return *operator_proxies_.at(number - 1); }
+  udp_proxy& packet_proxy(std::uint32_t number) { return *packet_proxies_.at(number - 1); }
+
+  /// Ends a process by a signal; it starts again at the given time.
+  void end(member& it, int signal, time_point restart);
+  /// Deletes the data of a control host that is down.
+  void wipe(std::uint32_t control);
+  /// Leaves part of an append at the end of the log of a control host that is down.
+  void tear(std::uint32_t control);
+  /// The upstream that starts next in this place has another id, and in some places the
+  /// drawn service.
+  void replace_upstream(std::uint32_t number, const std::string& drawn);
+  /// Exchanges the order of the control hosts in an entry host's settings.
+  void rotate_seeds(std::uint32_t entry, std::uint32_t by);
+
+  std::vector<endpoint> operator_addresses() const;
+  static endpoint service_address(const std::string& service, std::uint16_t port = service_port);
+  bool is_ready(std::uint32_t entry) const;
+  /// Runs a caller to its end and returns its summary line.
+  result<std::string> call(const std::string& service, std::uint16_t port, std::uint32_t flows);
+  /// Callers that open flows until they are told to stop.
+  void start_callers();
+  void stop_callers();
+
+  std::filesystem::path log_of(const std::string& name) const;
+  const std::vector<std::string>& own_ends() const { return own_ends_; }
+  std::vector<member>& members() { return members_; }
+
+private:
+  explicit installation(const installation_options& options) : options_(options) {}
+
+  result<void> build();
+  result<void> add_proxies(random_engine& engine);
+  endpoint address(std::uint32_t last, std::uint16_t port) const;
+  void write_control_settings(std::uint32_t number, bool is_first_start) const;
+  void write_entry_settings(std::uint32_t number, std::uint32_t rotation) const;
+  std::vector<std::string> caller_arguments(std::uint32_t number, const std::string& service,
+                                            std::uint16_t port) const;
+  void add(role kind, std::uint32_t number, std::vector<std::string> arguments);
+
+  installation_options options_;
+  std::vector<member> members_;
+  std::vector<std::unique_ptr<tcp_proxy>> control_proxies_;
+  std::vector<std::unique_ptr<tcp_proxy>> operator_proxies_;
+  std::vector<std::unique_ptr<udp_proxy>> packet_proxies_;
+  std::vector<std::string> own_ends_;
+  std::uint32_t next_id_ = 0x100;
+  std::uint32_t next_run_ = 0;
+};
+
+} // namespace zinnia::soak
--- /dev/null
+++ b/utilities/soak/operators.cpp
@@ -0,0 +1,168 @@
+#include "operators.h"
+
+#include "common/http_call.h"
+#include "installation.h"
+#include "platform/bodies.h"
+#include "platform/operator_api.h"
+
+#include <algorithm>
+
+namespace zinnia::soak {
+namespace {
+
+constexpr milliseconds call_timeout{1'000};
+constexpr milliseconds retry_pause{100};
+constexpr milliseconds longest_change{3'000};
+constexpr std::uint16_t first_port = 10'000;
+constexpr std::uint64_t ports = 50'000;
+constexpr std::uint32_t request_timeout_ms = 2'500;
+
+void add_route(wire::flow_declaration& out, const std::string& service, std::uint16_t port) {
+  const auto address = installation::service_address(service, port);
+  auto& route = *out.add_routes();
+  route.set_name(service + std::to_string(port));
+  route.set_address(address.address);
+  route.set_port(address.port);
+  route.set_kind(wire::unsafe);
+  route.set_timeout_ms(request_timeout_ms);
+  auto& share = *route.add_services();
+  share.set_service(service);
+  share.set_weight(1);
+}
+
+wire::flow_declaration declaration_of(std::uint64_t version) {
+  wire::flow_declaration out;
+  out.set_version(version);
+  out.set_idle_timeout_ms(15'000);
+  for (const auto* it : {"registry", "catalogue"}) {
+    out.add_services()->set_name(it);
+    add_route(out, it, installation::service_port);
+  }
+  add_route(out, "registry", operators::port_of(version));
+  return out;
+}
+
+} // namespace
+
+std::uint16_t operators::port_of(std::uint64_t version) {
+  return static_cast<std::uint16_t>(first_port + version % ports);
+}
+
+operators::operators(std::vector<endpoint> controls, std::uint64_t seed)
+    : controls_(std::move(controls)), engine_(seed) {
+  for (std::uint64_t n = 1; n <= 2; ++n)
+    workers_.emplace_back([this, seed, n](const std::stop_token& end) { run(end, seed + n); });
+}
+
+void operators::stop() {
+  workers_.clear();
+}
+
+void operators::set_changing(bool is_changing) {
+  const std::lock_guard lock(mutex_);
+  is_changing_ = is_changing;
+}
+
+std::vector<std::string> operators::findings() const {
+  const std::lock_guard lock(mutex_);
+  return findings_;
+}
+
+std::uint64_t operators::acknowledged() const {
+  const std::lock_guard lock(mutex_);
+  return acknowledged_;
+}
+
+void operators::report(const std::string& finding) {
+  const std::lock_guard lock(mutex_);
+  findings_.push_back(finding);
+}
+
+endpoint operators::draw_control(random_engine& engine) const {
+  return controls_[std::uniform_int_distribution<std::size_t>(0, controls_.size() - 1)(engine)];
+}
+
+void operators::run(const std::stop_token& end, std::uint64_t seed) {
+  random_engine engine(seed);
+  std::uniform_int_distribution<int> pause(50, 800);
+  while (!end.stop_requested()) {
+    bool is_changing = false;
+    {
+      const std::lock_guard lock(mutex_);
+      is_changing = is_changing_;
+    }
+    if (is_changing) {
+      wire::flow_declaration proposed;
+      begin_change(proposed);
+      const auto limit = monotonic_now() + longest_change;
+      while (!end.stop_requested() && monotonic_now() < limit && !send(proposed, engine))
+        std::this_thread::sleep_for(retry_pause);
+    }
+    read_once(engine);
+    std::this_thread::sleep_for(milliseconds(pause(engine)));
+  }
+}
+
+std::uint64_t operators::begin_change(wire::flow_declaration& out) {
+  const std::lock_guard lock(mutex_);
+  out = declaration_of(next_version_++);
+  sent_[out.version()] = platform::encode_declaration(out);
+  return out.version();
+}
+
+bool operators::send(const wire::flow_declaration& declaration, random_engine& engine) {
+  const auto version = declaration.version();
+  const auto answer = utilities::http_call(draw_control(engine), "POST", platform::declare_path(),
+                                           platform::encode_declaration(declaration), call_timeout);
+  if (!answer.has_value()) return false;
+  if (answer.value().status >= 400 && answer.value().status < 500)
+    report("version " + std::to_string(version) + " was refused: " + answer.value().body);
+  if (!answer.value().is_ok()) return false;
+  const std::lock_guard lock(mutex_);
+  acknowledged_ = std::max(acknowledged_, version);
+  return true;
+}
+
+std::uint64_t operators::change(milliseconds limit) {
+  wire::flow_declaration proposed;
+  const auto version = begin_change(proposed);
+  const auto until = monotonic_now() + limit;
+  while (monotonic_now() < until) {
+    if (send(proposed, engine_)) return version;
+    std::this_thread::sleep_for(retry_pause);
+  }
+  return 0;
+}
+
+std::uint64_t operators::read(milliseconds limit) {
+  const auto until = monotonic_now() + limit;
+  while (monotonic_now() < until) {
+    if (const auto version = read_once(engine_); version > 0) return version;
+    std::this_thread::sleep_for(retry_pause);
+  }
+  return 0;
+}
+
+// An answer is at least as new as what was acknowledged before the question.
+std::uint64_t operators::read_once(random_engine& engine) {
+  const auto expected = acknowledged();
+  const auto control = draw_control(engine);
+  const auto answer = utilities::http_call(control, "GET", platform::read_path(), "", call_timeout);
+  if (!answer.has_value() || !answer.value().is_ok()) return 0;
+  const auto declaration = platform::decode_declaration(answer.value().body);
+  if (!declaration.has_value()) {
+    report("unreadable declaration at " + control.to_string());
+    return 0;
+  }
+  const auto version = declaration.value().version();
+  if (version < expected)
+    report(control.to_string() + " shows version " + std::to_string(version) + " after " +
+           std::to_string(expected) + " was acknowledged");
+  const std::lock_guard lock(mutex_);
+  const auto sent = sent_.find(version);
+  if (sent == sent_.end() || sent->second != answer.value().body)
+    findings_.push_back("version " + std::to_string(version) + " is not what was sent");
+  return version;
+}
+
+} // namespace zinnia::soak
