flowd: control hosts are asked side by side after a start

Cause: an entry host asked one control host at a time. Ruled out: to ask all at once; three whole tables take 180 ms on a link of 2 Mbit/s. Change: after the start, and when the preferred host fails, the known hosts are asked 60 ms apart until one with a quorum answers.

--- a/services/flowd/news_client.cpp
+++ b/services/flowd/news_client.cpp
@@ -3,24 +3,27 @@
 #include "shared/control_channel.h"
 #include "zinniarelay/observe/log_line.h"
 
-#include <grpcpp/grpcpp.h>
+#include <algorithm>
 
 namespace zinnia::flowd {
 namespace {
 
+using std::chrono::system_clock;
+
 constexpr milliseconds news_wait{500};
 // An answer that takes this much longer than it may wait means a lost connection.
 constexpr milliseconds answer_slack{700};
-// A control host that failed, or has lost its quorum, is left alone for this long.
-constexpr milliseconds avoidance{2'000};
 constexpr milliseconds retry_interval{100};
+// A host that has no power answers nothing, so that the next one is asked meanwhile. A whole
+// table takes 60 ms on a link of 2 Mbit/s.
+constexpr milliseconds hedge_interval{60};
 constexpr std::uint32_t stale_quorum_ms = 1'000;
 constexpr std::size_t most_waiting_replies = 64;
 
 } // namespace
 
 news_client::news_client(identity self, std::vector<std::string> seeds)
-    : self_(std::move(self)), seeds_(std::move(seeds)), worker_([this] { run(); }) {}
+    : self_(std::move(self)), hosts_(std::move(seeds)), worker_([this] { run(); }) {}
 
 news_client::~news_client() {
   {
@@ -38,68 +41,113 @@
 
 void news_client::set_seeds(std::vector<std::string> seeds) {
   const std::lock_guard lock(mutex_);
-  seeds_ = std::move(seeds);
-}
-
-bool news_client::is_avoided(const std::string& address) const {
-  const auto it = failed_.find(address);
-  return it != failed_.end() && monotonic_now() - it->second < avoidance;
+  hosts_.set_seeds(std::move(seeds));
 }
 
-// The nearest control host that works; when none does, all of them in turn.
-std::string news_client::choose() {
+bool news_client::is_stopping() {
   const std::lock_guard lock(mutex_);
-  for (const auto* list : {&learnt_, &seeds_})
-    for (const auto& it : *list)
-      if (!is_avoided(it)) return it;
-  std::vector<std::string> all = learnt_;
-  all.insert(all.end(), seeds_.begin(), seeds_.end());
-  return all[turn_ % all.size()];
+  return is_stopping_;
 }
 
 void news_client::run() {
+  search();
   std::unique_lock lock(mutex_);
   while (!is_stopping_) {
+    const auto address = hosts_.preferred(monotonic_now());
     lock.unlock();
-    const auto address = choose();
-    const bool is_fetched = fetch(address);
+    const bool is_fetched = !address.empty() && fetch(address);
+    if (!is_fetched) search();
     lock.lock();
-    if (is_fetched || is_stopping_) continue;
-    ++turn_;
-    changed_.wait_for(lock, retry_interval);
+    if (!is_fetched && !is_stopping_) changed_.wait_for(lock, retry_interval);
   }
 }
 
+wire::news_request news_client::request_for(const std::string& address, milliseconds wait) {
+  const auto& known = positions_[address];
+  wire::news_request out;
+  out.set_host(self_.host);
+  out.set_zone(self_.zone);
+  out.set_version(version_);
+  out.set_source(known.source);
+  out.set_position(known.position);
+  out.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+  return out;
+}
+
 bool news_client::fetch(const std::string& address) {
   if (connected_ != address || !stub_) {
     stub_ = wire::flow_control::NewStub(open_control_channel(address));
     connected_ = address;
   }
-  auto& known = positions_[address];
-  wire::news_request request;
-  request.set_host(self_.host);
-  request.set_zone(self_.zone);
-  request.set_version(version_);
-  request.set_source(known.source);
-  request.set_position(known.position);
-  request.set_wait_ms(static_cast<std::uint32_t>(news_wait.count()));
   grpc::ClientContext context;
-  context.set_deadline(std::chrono::system_clock::now() + news_wait + answer_slack);
+  context.set_deadline(system_clock::now() + news_wait + answer_slack);
   wire::news_reply reply;
-  const auto status = stub_->News(&context, request, &reply);
-  if (!status.ok()) {
-    note_failure(address);
-    return false;
+  const auto status = stub_->News(&context, request_for(address, news_wait), &reply);
+  if (status.ok()) return accept(address, std::move(reply));
+  stub_.reset();
+  note_failure(address);
+  return false;
+}
+
+std::unique_ptr<news_client::attempt> news_client::begin_attempt(const std::string& address,
+                                                                 grpc::CompletionQueue& queue) {
+  auto out = std::make_unique<attempt>();
+  out->address = address;
+  out->stub = wire::flow_control::NewStub(open_control_channel(address));
+  out->context.set_deadline(system_clock::now() + answer_slack);
+  out->reader = out->stub->AsyncNews(&out->context, request_for(address, milliseconds(0)), &queue);
+  out->reader->Finish(&out->reply, &out->status, out.get());
+  return out;
+}
+
+// After a loss of all power the hosts that were named first may come back last.
+void news_client::search() {
+  std::vector<std::string> addresses;
+  {
+    const std::lock_guard lock(mutex_);
+    addresses = hosts_.candidates(monotonic_now());
+  }
+  grpc::CompletionQueue queue;
+  std::vector<std::unique_ptr<attempt>> attempts;
+  std::size_t ended = 0;
+  bool is_found = false;
+  auto next = system_clock::now();
+  while (!is_found && ended < addresses.size() && !is_stopping()) {
+    const auto now = system_clock::now();
+    const bool is_due = now >= next || ended == attempts.size();
+    if (is_due && attempts.size() < addresses.size()) {
+      attempts.push_back(begin_attempt(addresses[attempts.size()], queue));
+      next = now + hedge_interval;
+    }
+    void* tag = nullptr;
+    bool is_ok = false;
+    const bool has_more = attempts.size() < addresses.size();
+    const auto until = has_more ? next : now + answer_slack;
+    if (queue.AsyncNext(&tag, &is_ok, until) != grpc::CompletionQueue::GOT_EVENT) continue;
+    ++ended;
+    auto& it = *static_cast<attempt*>(tag);
+    if (it.status.ok())
+      is_found = accept(it.address, std::move(it.reply));
+    else
+      note_failure(it.address);
   }
-  known = {reply.source(), reply.position()};
+  for (auto& it : attempts)
+    it->context.TryCancel();
+  queue.Shutdown();
+  void* tag = nullptr;
+  bool is_ok = false;
+  while (queue.Next(&tag, &is_ok)) {
+  }
+}
+
+bool news_client::accept(const std::string& address, wire::news_reply reply) {
   const bool is_stale = reply.quorum_age_ms() > stale_quorum_ms;
-  if (is_stale)
-    note_failure(address);
-  else if (failed_.erase(address) > 0)
-    log_info("control_host_regained").with("control_host", address);
-  if (reply.control_hosts_size() > 0)
-    learnt_.assign(reply.control_hosts().begin(), reply.control_hosts().end());
+  if (is_stale) note_failure(address);
+  positions_[address] = {reply.source(), reply.position()};
   const std::lock_guard lock(mutex_);
+  if (!is_stale && hosts_.note_success(address))
+    log_info("control_host_regained").with("control_host", address);
+  hosts_.learn({reply.control_hosts().begin(), reply.control_hosts().end()});
   // The reader has stopped reading; the next reply after a gap must be complete.
   if (replies_.size() >= most_waiting_replies) {
     replies_.clear();
@@ -111,9 +159,9 @@
 }
 
 void news_client::note_failure(const std::string& address) {
-  if (!is_avoided(address)) log_warning("control_host_lost").with("control_host", address);
-  failed_[address] = monotonic_now();
-  stub_.reset();
+  const std::lock_guard lock(mutex_);
+  if (hosts_.note_failure(monotonic_now(), address))
+    log_warning("control_host_lost").with("control_host", address);
 }
 
 } // namespace zinnia::flowd
--- a/services/flowd/news_client.h
+++ b/services/flowd/news_client.h
@@ -2,9 +2,11 @@
 
 #include "flow.grpc.pb.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/control_host_choice.h"
 
 #include <atomic>
 #include <condition_variable>
+#include <grpcpp/grpcpp.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -41,23 +43,36 @@
     std::uint64_t position = 0;
   };
 
+  /// A question to one control host while several are asked.
+  struct attempt {
+    std::string address;
+    std::unique_ptr<wire::flow_control::Stub> stub;
+    grpc::ClientContext context;
+    wire::news_reply reply;
+    grpc::Status status;
+    std::unique_ptr<grpc::ClientAsyncResponseReader<wire::news_reply>> reader;
+  };
+
   void run();
-  std::string choose();
+  /// Asks the preferred host and waits for its news; false when it failed.
   bool fetch(const std::string& address);
+  /// Asks all hosts, each a little after the one before it, until one answers.
+  void search();
+  std::unique_ptr<attempt> begin_attempt(const std::string& address, grpc::CompletionQueue& queue);
+  wire::news_request request_for(const std::string& address, milliseconds wait);
+  /// Takes a reply; false when its sender has lost its quorum.
+  bool accept(const std::string& address, wire::news_reply reply);
   void note_failure(const std::string& address);
-  bool is_avoided(const std::string& address) const;
+  bool is_stopping();
 
   identity self_;
-  std::vector<std::string> seeds_;
-  std::vector<std::string> learnt_; ///< from the last reply, the nearest first
-  std::map<std::string, time_point> failed_;
   std::map<std::string, known_position> positions_;
   std::string connected_;
   std::unique_ptr<wire::flow_control::Stub> stub_;
-  std::size_t turn_ = 0;
 
   std::mutex mutex_;
   std::condition_variable changed_;
+  control_host_choice hosts_;
   std::vector<wire::news_reply> replies_;
   bool is_stopping_ = false;
   std::atomic<std::uint64_t> version_{0};
