control: a damaged declaration on disk is a complaint, not an empty one

Cause: the decompressing stream notes damage in its state and ends, so that damaged content read as complete; an empty declaration took the place of the damaged one without a word. Change: the stream throws, decompressed() returns the error, and the complaint says which version is unreadable. Test: unreadable_declaration_is_a_complaint; without the change it finds no complaint.

--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -28,12 +28,18 @@
   return out.str();
 }
 
-std::string decompressed(const std::string& content) {
-  std::istringstream in(content);
-  Poco::InflatingInputStream inflate(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
-  std::string out;
-  Poco::StreamCopier::copyToString(inflate, out);
-  return out;
+result<std::string> decompressed(const std::string& content) {
+  try {
+    std::istringstream in(content);
+    Poco::InflatingInputStream inflate(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    // Without this the stream notes the failure and ends as if it were complete.
+    inflate.exceptions(std::ios::badbit);
+    std::string out;
+    Poco::StreamCopier::copyToString(inflate, out);
+    return out;
+  } catch (const std::exception& ex) {
+    return failure(error_kind::corrupted, "declaration of packet flows", ex.what());
+  }
 }
 
 std::string digest_text(const std::string& content) {
@@ -95,7 +101,8 @@
 void control_host::decode_flows() {
   if (state_.flows().version() == flows_.declaration().version()) return;
   wire::versioned_declaration next;
-  if (next.ParseFromString(decompressed(state_.flows().content())))
+  const auto content = decompressed(state_.flows().content());
+  if (content.has_value() && next.ParseFromString(content.value()))
     flows_ = std::move(next);
   else
     complaints_.push_back("the declaration of packet flows of version " +
--- a/tests/libraries/control/flow_declarations_test.cpp
+++ b/tests/libraries/control/flow_declarations_test.cpp
@@ -126,6 +126,31 @@
   BOOST_TEST(host.has_urgent_news(request));
 }
 
+// Guards against a process that ends because a declaration on its disk is damaged.
+BOOST_AUTO_TEST_CASE(unreadable_declaration_is_a_complaint) {
+  memory_storage files;
+  random_engine engine(1);
+  control_host_settings settings;
+  settings.self = control_group::named(1);
+  settings.founders = {control_group::named(1)};
+  BOOST_TEST_REQUIRE(control_host::initialize(files, settings, engine).has_value());
+  wire::control_command command;
+  command.set_operation_id("version 3");
+  command.set_author("ana");
+  command.mutable_version()->set_version(3);
+  command.mutable_version()->set_content("not compressed");
+  control_state state;
+  state.apply(1, command);
+  log_store store(files);
+  auto snapshot = *store.load().value().snapshot;
+  snapshot.set_state(state.encode());
+  BOOST_TEST_REQUIRE(store.write_snapshot(snapshot, {}).has_value());
+  auto host = control_host::open(files, settings, engine, {});
+  BOOST_TEST_REQUIRE(host.has_value());
+  BOOST_TEST(host.value().flows().declaration().version() == 0U);
+  BOOST_TEST(host.value().take_complaints().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
