--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -1,5 +1,6 @@
 #include "control_server.h"
 #include "platform/operator_api.h"
+#include "shared/daemon_command_line.h"
 #include "zinniarelay/config/control_settings.h"
 #include "zinniarelay/config/settings_watch.h"
 #include "zinniarelay/control/group_identity.h"
@@ -8,10 +9,7 @@
 #include "zinniarelay/observe/metrics_text.h"
 #include "zinniarelay/replication/file_storage.h"
 
-#include <CLI/CLI.hpp>
 #include <csignal>
-#include <iostream>
-#include <random>
 
 namespace {
 
@@ -19,11 +17,6 @@
 
 constexpr milliseconds tick_interval{20};
 
-random_engine seeded_engine() {
-  std::random_device device;
-  return random_engine((std::uint64_t{device()} << 32U) | device());
-}
-
 int report(const error& value) {
   log_error("control_host_failed").with(value);
   std::cerr << "zinnia-controld: " << value << std::endl;
@@ -143,46 +136,42 @@
   return 0;
 }
 
+int found(const control_host_settings& settings, storage& files, const std::string& folder) {
+  auto engine = seeded_engine();
+  const auto founded = control_host::initialize(files, settings, engine);
+  if (!founded.has_value()) return report(founded.error());
+  std::cout << "founded cluster " << settings.cluster << " in " << folder << std::endl;
+  return 0;
+}
+
+int run(const control_settings& settings, const std::string& settings_file, bool is_founding) {
+  start_log("zinnia-controld", {settings.control().value, settings.availability_zone(),
+                                settings.name(), settings.zone_name()});
+  auto host_settings = host_settings_of(settings);
+  const auto folder = settings.data_folder().string();
+  auto files = file_storage::open(folder);
+  if (!files.has_value()) return report(files.error());
+  if (const auto& group = settings.group()) {
+    auto engine = seeded_engine();
+    const auto assigned =
+        assign_identity(files.value(), host_settings, group->seeds, group->is_first_start, engine);
+    if (!assigned.has_value()) return report(assigned.error());
+  }
+  if (is_founding) return found(host_settings, files.value(), folder);
+  return serve(settings_file, settings, host_settings, files.value());
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
   CLI::App app("Control host of zinniarelay: replicated log, operators' requests, distribution");
-  std::string settings_file;
-  bool is_check = false;
+  const daemon_command_line line(app);
   bool is_founding = false;
-  app.add_option("--settings", settings_file, "settings file in YAML")->required();
-  app.add_flag("--check-settings", is_check, "check the settings file and exit");
   app.add_flag("--initialize", is_founding,
                "found a new cluster in an empty data folder and exit; run it once on each "
                "founding member, and never to replace a lost one");
   CLI11_PARSE(app, argc, argv);
-
-  const auto settings = control_settings::load(settings_file);
-  if (!settings.has_value()) {
-    for (const auto& it : settings.error())
-      std::cerr << it << std::endl;
-    return 1;
-  }
-  if (is_check) {
-    std::cout << settings_file << ": no findings" << std::endl;
-    return 0;
-  }
-  start_log("zinnia-controld",
-            {settings.value().control().value, settings.value().availability_zone(),
-             settings.value().name(), settings.value().zone_name()});
-  auto host_settings = host_settings_of(settings.value());
-  auto files = file_storage::open(settings.value().data_folder().string());
-  if (!files.has_value()) return report(files.error());
-  auto engine = seeded_engine();
-  if (const auto& group = settings.value().group()) {
-    const auto assigned =
-        assign_identity(files.value(), host_settings, group->seeds, group->is_first_start, engine);
-    if (!assigned.has_value()) return report(assigned.error());
-  }
-  if (!is_founding) return serve(settings_file, settings.value(), host_settings, files.value());
-  const auto founded = control_host::initialize(files.value(), host_settings, engine);
-  if (!founded.has_value()) return report(founded.error());
-  std::cout << "founded cluster " << host_settings.cluster << " in "
-            << settings.value().data_folder().string() << std::endl;
-  return 0;
+  return line.run<control_settings>([&](const control_settings& settings) {
+    return run(settings, line.settings_file(), is_founding);
+  });
 }
--- a/services/entryd/main.cpp
+++ b/services/entryd/main.cpp
@@ -1,9 +1,9 @@
 #include "configuration_copy.h"
 #include "entry_daemon.h"
+#include "shared/daemon_command_line.h"
 #include "zinniarelay/observe/log_line.h"
 #include "zinniarelay/token/key_file.h"
 
-#include <CLI/CLI.hpp>
 #include <csignal>
 #include <google/protobuf/stubs/logging.h>
 #include <iostream>
@@ -13,8 +13,6 @@
 
 using namespace zinnia;
 
-constexpr int exit_bad_input = 2;
-
 std::atomic<bool> drain_wanted{false};
 std::atomic<bool> stop_wanted{false};
 
@@ -32,7 +30,7 @@
 int report(const findings& found) {
   for (const auto& it : found)
     std::cerr << it << '\n';
-  return exit_bad_input;
+  return daemon_command_line::exit_bad_settings;
 }
 
 int report(const error& cause) {
@@ -66,17 +64,13 @@
 
 int main(int argc, char** argv) {
   CLI::App app("zinnia-entryd: an entry host of zinniarelay");
-  std::string settings_path;
-  bool is_check_only = false;
-  app.add_option("--settings", settings_path, "YAML file with the settings")->required();
-  app.add_flag("--check-settings", is_check_only, "check the settings and exit");
+  const daemon_command_line line(app);
   CLI11_PARSE(app, argc, argv);
-  const auto settings = entry_settings::load(settings_path);
-  if (!settings) return report(settings.error());
-  if (is_check_only) return 0;
-  // Any caller can send malformed packets, which are counted; a line for each would
-  // let it fill the disk.
-  google::protobuf::SetLogHandler(nullptr);
-  start_log(argv[0], {settings.value().host().value, settings.value().availability_zone()});
-  return run(settings.value());
+  return line.run<entry_settings>([&](const entry_settings& settings) {
+    // Any caller can send malformed packets, which are counted; a line for each would
+    // let it fill the disk.
+    google::protobuf::SetLogHandler(nullptr);
+    start_log(argv[0], {settings.host().value, settings.availability_zone()});
+    return run(settings);
+  });
 }
