flowd, control: pauses between searches; silent upstreams are not recalled

Cause, by reading: a search asks each control host without waiting for news, so that entry hosts which find none with a quorum would ask each of them three times a second, 200 calls a second at 66 entry hosts. And a control host that is cut off saves its view again every 10 s, with upstreams that ended unseen, which count as heard after its restart. Change: pauses of 100 ms doubled up to 800 ms after a search without success; a view omits upstreams that were silent for 20 s. Test: view_omits_upstreams_that_have_been_silent_for_long. The pauses have no test of their own.

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -115,8 +115,8 @@
   /// Takes what this host knew before it started. It serves entry hosts until a quorum
   /// has been heard from (docs/design.md R39).
   void recall(time_point now, wire::recalled_view view);
-  /// What this host would want to recall after a restart.
-  wire::recalled_view view(std::uint64_t wall_ms) const;
+  /// What this host would want to recall after a restart; `wall_ms` is the Unix time.
+  wire::recalled_view view(time_point now, std::uint64_t wall_ms) const;
   /// Changes when view() does.
   struct view_position {
     std::uint64_t version = 0;
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -19,6 +19,9 @@
 // Without contact to a quorum for this long after its start, a host is cut off, and the
 // others may have moved on.
 constexpr milliseconds recall_validity{3'000};
+// An upstream that was silent for this long has most likely ended. Recalled, it would count
+// as heard, and outlive the memory that other hosts have of its end.
+constexpr milliseconds longest_silence{20'000};
 
 std::string compressed(const std::string& content) {
   std::ostringstream out;
@@ -118,12 +121,12 @@
   upstreams_.merge(now, known);
 }
 
-wire::recalled_view control_host::view(std::uint64_t wall_ms) const {
+wire::recalled_view control_host::view(time_point now, std::uint64_t wall_ms) const {
   wire::recalled_view out;
   out.set_saved_ms(wall_ms);
   *out.mutable_declaration() = committed_declaration();
   upstreams_.for_each([&](const auto& it) {
-    if (it.report.condition != upstream_report::state::gone)
+    if (it.report.condition != upstream_report::state::gone && now - it.heard < longest_silence)
       *out.add_upstreams() = it.report.to_wire();
   });
   return out;
--- a/services/controld/recall_writer.cpp
+++ b/services/controld/recall_writer.cpp
@@ -34,7 +34,7 @@
     });
     if (is_stopping_) return;
     const auto position = shared_.host.position_of_view();
-    const auto view = shared_.host.view(wall_ms());
+    const auto view = shared_.host.view(monotonic_now(), wall_ms());
     lock.unlock();
     const auto written = store.save(view);
     lock.lock();
--- a/services/flowd/news_client.cpp
+++ b/services/flowd/news_client.cpp
@@ -13,7 +13,10 @@
 constexpr milliseconds news_wait{500};
 // An answer that takes this much longer than it may wait means a lost connection.
 constexpr milliseconds answer_slack{700};
-constexpr milliseconds retry_interval{100};
+// After a search without success, doubled each time: control hosts that have lost their
+// quorum must not be kept busy with questions.
+constexpr milliseconds shortest_pause{100};
+constexpr milliseconds longest_pause{800};
 // A host that has no power answers nothing, so that the next one is asked meanwhile. A whole
 // table takes 60 ms on a link of 2 Mbit/s.
 constexpr milliseconds hedge_interval{60};
@@ -50,15 +53,20 @@
 }
 
 void news_client::run() {
-  search();
+  auto pause = shortest_pause;
+  bool is_fetched = false;
   std::unique_lock lock(mutex_);
   while (!is_stopping_) {
-    const auto address = hosts_.preferred(monotonic_now());
+    const auto address = is_fetched ? hosts_.preferred(monotonic_now()) : std::string();
     lock.unlock();
-    const bool is_fetched = !address.empty() && fetch(address);
-    if (!is_fetched) search();
+    is_fetched = (!address.empty() && fetch(address)) || search();
     lock.lock();
-    if (!is_fetched && !is_stopping_) changed_.wait_for(lock, retry_interval);
+    if (is_fetched) {
+      pause = shortest_pause;
+    } else if (!is_stopping_) {
+      changed_.wait_for(lock, pause);
+      pause = std::min(2 * pause, longest_pause);
+    }
   }
 }
 
@@ -101,7 +109,7 @@
 }
 
 // After a loss of all power the hosts that were named first may come back last.
-void news_client::search() {
+bool news_client::search() {
   std::vector<std::string> addresses;
   {
     const std::lock_guard lock(mutex_);
@@ -138,6 +146,7 @@
   bool is_ok = false;
   while (queue.Next(&tag, &is_ok)) {
   }
+  return is_found;
 }
 
 bool news_client::accept(const std::string& address, wire::news_reply reply) {
--- a/services/flowd/news_client.h
+++ b/services/flowd/news_client.h
@@ -56,8 +56,9 @@
   void run();
   /// Asks the preferred host and waits for its news; false when it failed.
   bool fetch(const std::string& address);
-  /// Asks all hosts, each a little after the one before it, until one answers.
-  void search();
+  /// Asks all hosts, each a little after the one before it, until one with a quorum
+  /// answers; false when none does.
+  bool search();
   std::unique_ptr<attempt> begin_attempt(const std::string& address, grpc::CompletionQueue& queue);
   wire::news_request request_for(const std::string& address, milliseconds wait);
   /// Takes a reply; false when its sender has lost its quorum.
--- a/tests/libraries/control/recall_test.cpp
+++ b/tests/libraries/control/recall_test.cpp
@@ -68,13 +68,23 @@
   auto gone = upstream_report::from_wire(report_of("i-1", wire::upstream_gone)).value();
   gone.sequence = 6;
   host.report(group.now, gone);
-  const auto view = host.view(saved_ms);
+  const auto view = host.view(group.now, saved_ms);
   BOOST_TEST(view.declaration().version() == 7U);
   BOOST_TEST_REQUIRE(view.upstreams_size() == 1);
   BOOST_TEST(view.upstreams(0).id() == "i-2");
   BOOST_TEST((view.upstreams(0).state() == wire::upstream_draining));
 }
 
+// Guards against an upstream that ended unseen and returns with each restart of a host that
+// is cut off.
+BOOST_AUTO_TEST_CASE(view_omits_upstreams_that_have_been_silent_for_long) {
+  control_group group(1, 3, {});
+  auto& host = group.host(1);
+  host.recall(group.now, view_of(7));
+  BOOST_TEST(host.view(group.now + milliseconds(5'000), saved_ms).upstreams_size() == 2);
+  BOOST_TEST(host.view(group.now + milliseconds(30'000), saved_ms).upstreams_size() == 0);
+}
+
 // Guards against changes that are not saved, and against a write for each refresh.
 BOOST_AUTO_TEST_CASE(position_of_view_follows_changes_of_content_only) {
   control_group group(1, 3, {});
