soak: one check of answers; what the linter found

The linter had not read the soak before it landed: strings built in loops, copies of a process left undeclared, an unused using-declaration. The checks of answers in a calm, which stood three times, are one function; what they expect is unchanged.

--- a/utilities/soak/child_process.cpp
+++ b/utilities/soak/child_process.cpp
@@ -40,6 +40,7 @@
   spawn_actions actions;
   actions.append_output_to(log.string());
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const auto& it : arguments)
     argv.push_back(const_cast<char*>(it.c_str()));
   argv.push_back(nullptr);
--- a/utilities/soak/child_process.h
+++ b/utilities/soak/child_process.h
@@ -17,6 +17,8 @@
   static result<child_process> start(const std::vector<std::string>& arguments,
                                      const std::filesystem::path& log);
 
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
   child_process(child_process&& other) noexcept;
   child_process& operator=(child_process&& other) noexcept;
   ~child_process();
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -14,7 +14,6 @@
 
 using namespace zinnia;
 using soak::installation;
-using soak::role;
 
 constexpr milliseconds turn{10};
 constexpr milliseconds start_limit{30'000};
@@ -26,6 +25,7 @@
 // Drain, leave and start of the successor of an upstream.
 constexpr milliseconds replacement{6'500};
 constexpr std::uint32_t probe_flows = 40;
+constexpr std::uint32_t dropped_flows = 4; ///< to a route that was dropped
 
 struct soak_options {
   std::uint64_t seed = 1;
@@ -133,12 +133,16 @@
   }
 
   void check_service(const std::string& when) {
-    for (const std::string service : {"registry", "catalogue"}) {
-      const auto summary = target_.call(service, installation::service_port, probe_flows);
-      if (!summary.has_value() || soak::number_in(summary.value(), "answered") != probe_flows)
-        find(service + " " + when + ": " +
-             (summary.has_value() ? summary.value() : summary.error().cause));
-    }
+    check_answers("registry", installation::service_port, probe_flows, "registry " + when);
+    check_answers("catalogue", installation::service_port, probe_flows, "catalogue " + when);
+  }
+
+  void check_answers(const std::string& service, std::uint16_t port, std::uint32_t expected,
+                     const std::string& what) {
+    const auto flows = expected == 0 ? dropped_flows : expected;
+    const auto summary = target_.call(service, port, flows);
+    if (summary.has_value() && soak::number_in(summary.value(), "answered") == expected) return;
+    find(what + ": " + (summary.has_value() ? summary.value() : summary.error().cause));
   }
 
   // Each version has a route that the one before it has not.
@@ -147,14 +151,10 @@
     const auto version = operators_.change(operator_limit);
     if (version == 0) return find("no change is acknowledged in a calm");
     pause(in_force_limit);
-    const auto added = target_.call("registry", soak::operators::port_of(version), probe_flows);
-    if (!added.has_value() || soak::number_in(added.value(), "answered") != probe_flows)
-      find("route of version " + std::to_string(version) +
-           " is not in force: " + (added.has_value() ? added.value() : added.error().cause));
-    const auto dropped = target_.call("registry", soak::operators::port_of(before), 4);
-    if (!dropped.has_value() || soak::number_in(dropped.value(), "answered") != 0)
-      find("route of version " + std::to_string(before) + " is still in force: " +
-           (dropped.has_value() ? dropped.value() : dropped.error().cause));
+    check_answers("registry", soak::operators::port_of(version), probe_flows,
+                  "route of version " + std::to_string(version) + " is not in force");
+    check_answers("registry", soak::operators::port_of(before), 0,
+                  "route of version " + std::to_string(before) + " is still in force");
   }
 
   soak_options options_;
--- a/utilities/soak/verdict.cpp
+++ b/utilities/soak/verdict.cpp
@@ -26,7 +26,7 @@
   return out;
 }
 
-verdict::verdict(std::filesystem::path logs, excuse is_excused)
+verdict::verdict(const std::filesystem::path& logs, excuse is_excused)
     : is_excused_(std::move(is_excused)) {
   std::vector<std::filesystem::path> upstreams;
   for (const auto& it : std::filesystem::directory_iterator(logs)) {
@@ -49,9 +49,9 @@
     while (std::getline(in, line)) {
       if (line.starts_with("run ")) {
         ++runs_;
-        if (!seen.insert(line).second) findings_.push_back("ran twice: " + line + " at " + place);
+        if (!seen.insert(line).second) add("ran twice", place, line);
       } else if (line.starts_with("foreign ")) {
-        findings_.push_back("packet of another service at " + place + ": " + line);
+        add("packet of another service", place, line);
       } else if (line.starts_with("late_open ")) {
         check_late_open(place, line);
       }
@@ -59,10 +59,14 @@
   }
 }
 
+void verdict::add(const std::string& what, const std::string& place, const std::string& line) {
+  findings_.push_back(what + " at " + place + ": " + line);
+}
+
 void verdict::check_late_open(const std::string& place, const std::string& line) {
   const auto sender = word_in(line, "sender").value_or("");
   if (!is_excused_(sender.substr(0, sender.find(':')), number_in(line, "at_ms")))
-    findings_.push_back("new flow to a leaving upstream at " + place + ": " + line);
+    add("new flow to a leaving upstream", place, line);
 }
 
 void verdict::read_caller(const std::filesystem::path& log) {
@@ -70,12 +74,11 @@
   std::ifstream in(log);
   std::string line;
   while (std::getline(in, line)) {
-    if (line.starts_with("broken "))
-      findings_.push_back("open flow reset by the system at " + place + ": " + line);
+    if (line.starts_with("broken ")) add("open flow reset by the system", place, line);
     if (!line.starts_with("flows=")) continue;
     answered_ += number_in(line, "answered");
     unanswered_ += number_in(line, "flows") - number_in(line, "answered");
-    if (number_in(line, "damaged") > 0) findings_.push_back("damaged answer at " + place);
+    if (number_in(line, "damaged") > 0) add("damaged answer", place, line);
   }
 }
 
--- a/utilities/soak/verdict.h
+++ b/utilities/soak/verdict.h
@@ -14,7 +14,7 @@
   /// time (in ms) may rest on news that it could not have.
   using excuse = std::function<bool(const std::string& sender, std::uint64_t at_ms)>;
 
-  verdict(std::filesystem::path logs, excuse is_excused);
+  verdict(const std::filesystem::path& logs, excuse is_excused);
 
   /// Promises that were broken.
   const std::vector<std::string>& findings() const { return findings_; }
@@ -25,6 +25,7 @@
 private:
   void read_upstreams(const std::vector<std::filesystem::path>& logs);
   void read_caller(const std::filesystem::path& log);
+  void add(const std::string& what, const std::string& place, const std::string& line);
   void check_late_open(const std::string& place, const std::string& line);
 
   excuse is_excused_;
