http: event-driven server, so that stalled clients delay no other

Cause: each connection of the POCO server held a thread for up to 5 s for each read, and a byte now and then held it for good. Forty connections with half a request delayed the report of an upstream past 10 s. Ruled out: more threads (memory, and the same fault at a larger number). Change: connections on Boost.Asio and Boost.Beast without a thread of their own, one time limit for a whole request, a bound on connections that closes the one that waits longest, a bound on buffered bodies, counters of how connections end. A stop also answers the connection that was accepted just before it: the completed accept was dropped, which the test accepted_requests_are_answered_during_a_stop showed (1 of 40 requests without an answer).

--- a/include/zinniarelay/http/http_server.h
+++ b/include/zinniarelay/http/http_server.h
@@ -2,6 +2,9 @@
 
 #include "zinniarelay/core/endpoint.h"
 #include "zinniarelay/core/result.h"
+#include "zinniarelay/http/http_message.h"
+#include "zinniarelay/http/http_server_limits.h"
+#include "zinniarelay/observe/metric_registry.h"
 
 #include <functional>
 #include <memory>
@@ -9,40 +12,29 @@
 
 namespace zinnia {
 
-struct http_request {
-  std::string method;
-  std::string path; ///< including the query, as sent
-  std::string body;
-
-  friend bool operator==(const http_request&, const http_request&) = default;
-};
-
-struct http_response {
-  int status = 200;
-  std::string content_type = "text/plain";
-  std::string body;
-
-  friend bool operator==(const http_response&, const http_response&) = default;
-};
-
-/// An HTTP/1.1 server for operators, announcements, readiness and metrics. Handlers
-/// run on several threads; an exception thrown by a handler is logged and results in
+/// An HTTP/1.1 server for operators, reports of upstreams, readiness and metrics. Each connection
+/// serves one request. Connections cost no thread: a client that sends its request slowly or not
+/// at all delays no other client. An exception thrown by the handler is logged and results in
 /// status 500.
 class http_server {
 public:
   using handler = std::function<http_response(const http_request&)>;
 
-  struct limits {
-    int threads = 16;
-    int queued_connections = 128;
-    std::size_t body_bytes = 8U << 20U; ///< longer requests are rejected with status 413
-  };
-
-  /// Fails with error_kind::io when the address cannot be bound.
+  /// Fails with error_kind::io when the address cannot be bound. Counts connections and their ends
+  /// as `http_connections` in `metrics`, which must outlive the server; `name` is the label
+  /// `server`.
   static result<std::unique_ptr<http_server>> create(const endpoint& address, handler handle,
-                                                     const limits& bounds);
+                                                     const http_server_limits& limits,
+                                                     metric_registry& metrics,
+                                                     const std::string& name);
 
+  /// Accepts no more connections, and waits for the requests on those already accepted, at most
+  /// for the stop timeout.
   virtual ~http_server() = default;
+
+  /// Returns the address that the server is bound to, with the port that the system chose for
+  /// port 0.
+  virtual endpoint address() const = 0;
 };
 
 } // namespace zinnia
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -69,6 +69,8 @@
     return out;
   }
 
+  metric_registry& flow_metrics() override { return flows_.metrics(); }
+
   void set_seeds(std::vector<std::string> seeds) override { flows_.set_seeds(std::move(seeds)); }
 
   void stop() override {
--- a/services/controld/control_server.h
+++ b/services/controld/control_server.h
@@ -3,6 +3,7 @@
 #include "flow_control_service.h"
 #include "zinniarelay/control/control_host.h"
 #include "zinniarelay/control/flow_operations.h"
+#include "zinniarelay/observe/metric_registry.h"
 
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
   virtual std::optional<error> tick() = 0;
   virtual flow_operations& flows() = 0;
   virtual wire::metrics_reply metrics() = 0;
+  /// Returns the metrics that metrics() reports in addition to those of the control_host.
+  virtual metric_registry& flow_metrics() = 0;
   /// Replaces the addresses to which a host without a group sends its join requests.
   virtual void set_seeds(std::vector<std::string> seeds) = 0;
   virtual void stop() = 0;
--- a/services/controld/flow_control_service.h
+++ b/services/controld/flow_control_service.h
@@ -44,7 +44,7 @@
   void stop();
   /// Replaces the addresses to which a host without a group sends its join requests.
   void set_seeds(std::vector<std::string> seeds);
-  const metric_registry& metrics() const { return metrics_; }
+  metric_registry& metrics() { return metrics_; }
   /// Logs a newly applied declaration, and wakes the waiting calls of entry hosts and the view
   /// writer. Called with the shared mutex held, when the host may have applied entries.
   void on_progress();
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -16,6 +16,7 @@
 using namespace zinnia;
 
 constexpr milliseconds tick_interval{20};
+constexpr std::size_t max_metrics_connections = 64;
 
 int report(const error& value) {
   log_error("control_host_failed").with(value);
@@ -76,16 +77,19 @@
     const auto handle = [&server](const http_request& request) {
       return platform::operator_api(server.flows()).handle(request);
     };
-    ZINNIA_TRY(operators, http_server::create(*settings.operator_address(), handle, {}));
+    ZINNIA_TRY(operators, http_server::create(*settings.operator_address(), handle, {},
+                                              server.flow_metrics(), "operators"));
     out.operators = std::move(operators);
   }
   if (settings.metrics_address()) {
     const auto handle = [&server](const http_request& /*request*/) {
       return http_response{200, "text/plain", metrics_text(server.metrics())};
     };
-    http_server::limits bounds;
-    bounds.threads = 2;
-    ZINNIA_TRY(metrics, http_server::create(*settings.metrics_address(), handle, bounds));
+    http_server_limits limits;
+    limits.handler_threads = 1;
+    limits.connections = max_metrics_connections;
+    ZINNIA_TRY(metrics, http_server::create(*settings.metrics_address(), handle, limits,
+                                            server.flow_metrics(), "metrics"));
     out.metrics = std::move(metrics);
   }
   return out;
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -13,6 +13,8 @@
 // A stopping host exits this long before the end of stop_grace.
 constexpr milliseconds exit_margin{1'000};
 constexpr std::string_view metrics_path = "/metrics";
+// Requests for readiness and metrics have no body.
+constexpr std::size_t max_request_body_bytes = 1'024;
 
 std::vector<std::string> addresses_of(const std::vector<endpoint>& list) {
   std::vector<std::string> out;
@@ -72,12 +74,15 @@
   ZINNIA_TRY(socket, packet_socket::create(settings_.packet_address()));
   socket_ = std::move(socket);
   const auto handle = [this](const http_request& request) { return answer(request); };
-  http_server::limits bounds;
-  bounds.threads = 4;
-  ZINNIA_TRY(ready, http_server::create(settings_.ready_address(), handle, bounds));
+  http_server_limits limits;
+  limits.handler_threads = 0;
+  limits.body_bytes = max_request_body_bytes;
+  ZINNIA_TRY(ready,
+             http_server::create(settings_.ready_address(), handle, limits, metrics_, "ready"));
   ready_server_ = std::move(ready);
   if (settings_.metrics_address()) {
-    ZINNIA_TRY(metrics, http_server::create(*settings_.metrics_address(), handle, bounds));
+    ZINNIA_TRY(metrics, http_server::create(*settings_.metrics_address(), handle, limits, metrics_,
+                                            "metrics"));
     metrics_server_ = std::move(metrics);
   }
   updates_ = std::make_unique<update_client>(
--- a/utilities/flowpeer/main.cpp
+++ b/utilities/flowpeer/main.cpp
@@ -1,5 +1,6 @@
 #include "flow_caller.h"
 #include "flow_upstream.h"
+#include "stalled_clients.h"
 
 #include <CLI/CLI.hpp>
 #include <atomic>
@@ -45,6 +46,14 @@
   return 0;
 }
 
+int run_stalled(const flowpeer::stalled_clients_options& options) {
+  const auto summary = flowpeer::probe_beside_stalled_clients(options);
+  if (!summary.has_value()) return print_error(summary.error());
+  std::cout << "probes=" << options.probes << " answered=" << summary.value().answered
+            << " slowest_ms=" << summary.value().slowest.count() << std::endl;
+  return 0;
+}
+
 endpoint required_endpoint(const std::string& text) {
   const auto parsed = endpoint::parse(text);
   if (!parsed.has_value()) throw CLI::ValidationError(text, "is not ip:port");
@@ -92,8 +101,21 @@
   caller->add_option("--run", caller_opts.run, "distinguishes the requests of several runs");
   caller->add_option("--seed", seed, "seed of the random entry host of each packet");
 
+  flowpeer::stalled_clients_options stalled_opts;
+  std::string server;
+  auto* stalled = app.add_subcommand(
+      "stall", "sends half of a request on many connections and times other requests");
+  stalled->add_option("--server", server, "HTTP ip:port")->required();
+  stalled->add_option("--path", stalled_opts.path, "path of the timed requests")->required();
+  stalled->add_option("--connections", stalled_opts.connections, "number of stalled connections");
+  stalled->add_option("--probes", stalled_opts.probes, "number of timed requests");
+
   try {
     app.parse(argc, argv);
+    if (*stalled) {
+      stalled_opts.server = required_endpoint(server);
+      return run_stalled(stalled_opts);
+    }
     if (*upstream) {
       upstream_opts.address = required_endpoint(upstream_address);
       upstream_opts.drain_time = milliseconds(drain_ms);
