controld, flowd: a waiting call holds no thread, and searching hosts wait for one reply

Cause: while 194 entry hosts start, each opened a connection to three seeds, gave up after 0.7 s and opened others; each change of an upstream woke every waiting call, one thread each, for a reply of its own. A search (control_host_search) has at most one request outstanding at each control host, keeps its connection, tries the seeds in an order of its own and repeats after growing pauses; a control host that has lost its quorum and has no view to restore holds such a request until it has one (field quorum_required).

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -148,8 +148,9 @@
   wire::spread_request replication_since(std::uint64_t position, bool is_complete) const;
   /// Returns the updates that an entry host does not have yet.
   wire::news_reply updates(time_point now, const wire::news_request& request) const;
-  /// Returns true when the reply to an entry host must not be delayed.
-  bool has_urgent_update(const wire::news_request& request) const;
+  /// Returns true when the reply to an entry host must not be delayed: it lacks a change of
+  /// content, or all updates of this process. A request that requires a quorum waits for one.
+  bool has_urgent_update(time_point now, const wire::news_request& request) const;
   /// Returns a random number that distinguishes this process from an earlier one at the same
   /// address.
   std::uint64_t source() const { return source_; }
@@ -199,6 +200,9 @@
   void expire_hosts(time_point now);
   void maintain_group(time_point now);
   void decode_flows();
+  bool has_quorum(time_point now) const;
+  /// Whether this host serves its restored view until its first contact with a quorum.
+  bool serves_restored_view(time_point now) const;
   /// Returns the newest declaration that this host knows to be committed.
   const wire::flow_declaration& committed_declaration() const;
 
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -174,7 +174,7 @@
 
 std::optional<wire::join_request> control_host::join_request_due(time_point now) const {
   if (!group_ || node_.role() == raft_role::leader) return std::nullopt;
-  if (node_.quorum_age(now) <= max_quorum_age) return std::nullopt;
+  if (has_quorum(now)) return std::nullopt;
   wire::join_request out;
   *out.mutable_member() = settings_.self;
   out.mutable_member()->set_identity(node_.identity().identity());
@@ -243,15 +243,26 @@
   *out.mutable_upstreams() = upstreams_.updates_since(position);
   if (const auto& committed = committed_declaration(); committed.version() > request.version())
     *out.mutable_declaration() = committed;
-  const auto quorum_age = node_.quorum_age(now);
-  out.set_quorum_age_ms(milliseconds_field(quorum_age));
-  out.set_recalled(quorum_age == milliseconds::max() && now - started_ < restored_view_validity);
+  out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
+  out.set_recalled(serves_restored_view(now));
   for (auto& it : member_addresses(request.zone()))
     out.add_control_hosts(std::move(it));
   return out;
 }
 
-bool control_host::has_urgent_update(const wire::news_request& request) const {
+bool control_host::has_quorum(time_point now) const {
+  return node_.quorum_age(now) <= max_quorum_age;
+}
+
+bool control_host::serves_restored_view(time_point now) const {
+  return node_.quorum_age(now) == milliseconds::max() && now - started_ < restored_view_validity;
+}
+
+bool control_host::has_urgent_update(time_point now, const wire::news_request& request) const {
+  // Entry hosts that search would otherwise repeat their requests until there is a quorum.
+  const bool can_serve =
+      has_quorum(now) || (serves_restored_view(now) && restored_declaration_.version() > 0);
+  if (request.quorum_required() && !can_serve) return false;
   return request.source() != source_ || committed_declaration().version() > request.version() ||
          upstreams_.content_position() > request.position();
 }
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -53,11 +53,16 @@
   }
 
   std::optional<error> tick() override {
-    const std::lock_guard lock(shared_.mutex);
-    const auto now = monotonic_now();
-    shared_.host.tick(now);
-    execute_effects();
-    return shared_.host.fault() ? recover(now) : std::nullopt;
+    std::optional<error> out;
+    {
+      const std::lock_guard lock(shared_.mutex);
+      const auto now = monotonic_now();
+      shared_.host.tick(now);
+      execute_effects();
+      if (shared_.host.fault()) out = recover(now);
+    }
+    flows_.send_updates();
+    return out;
   }
 
   flow_operations& flows() override { return flows_; }
--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -1,6 +1,7 @@
 #include "flow_control_service.h"
 
 #include "shared/control_channel.h"
+#include "update_call.h"
 #include "upstream_replicator.h"
 #include "zinniarelay/flow/route_table.h"
 #include "zinniarelay/observe/log_line.h"
@@ -20,7 +21,6 @@
 constexpr milliseconds join_timeout{400};
 constexpr milliseconds join_interval{300};
 constexpr milliseconds replicator_refresh_interval{200};
-constexpr milliseconds max_update_wait{2'000};
 
 const char* name_of(flow_operations::outcome value) {
   switch (value) {
@@ -89,12 +89,16 @@
 }
 
 void flow_control_service::stop() {
+  std::map<std::uint64_t, update_call*> waiting;
   {
     const std::lock_guard lock(shared_.mutex);
     is_stopping_ = true;
+    update_queue_.take_all();
+    waiting.swap(update_calls_);
   }
+  for (const auto& [ticket, call] : waiting)
+    call->Finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "stopping"));
   stopped_.notify_all();
-  update_available_.notify_all();
   shared_.changed.notify_all();
   for (auto& it : workers_)
     it.join();
@@ -133,7 +137,6 @@
       .with("version", version)
       .with("routes", shared_.host.flows().declaration().routes_size())
       .with("applied_index", shared_.host.applied_index());
-  update_available_.notify_all();
   if (view_writer_) view_writer_->wake();
 }
 
@@ -287,7 +290,6 @@
         .with("service", value.service)
         .with("address", value.address)
         .with("state", name_of(value.condition));
-    update_available_.notify_all();
     if (view_writer_) view_writer_->wake();
     for (auto& [address, replicator] : replicators_)
       replicator->wake();
@@ -331,22 +333,49 @@
   const std::lock_guard lock(shared_.mutex);
   const auto before = shared_.host.upstreams().content_position();
   *reply = shared_.host.merge_replicated(monotonic_now(), *request);
-  if (shared_.host.upstreams().content_position() != before) {
-    update_available_.notify_all();
-    if (view_writer_) view_writer_->wake();
-  }
+  if (shared_.host.upstreams().content_position() != before && view_writer_) view_writer_->wake();
   return grpc::Status::OK;
 }
 
-grpc::Status flow_control_service::News(grpc::ServerContext* /*context*/,
-                                        const wire::news_request* request,
-                                        wire::news_reply* reply) {
-  std::unique_lock lock(shared_.mutex);
-  const auto wait = std::min(milliseconds(request->wait_ms()), max_update_wait);
-  update_available_.wait_for(
-      lock, wait, [&] { return shared_.host.has_urgent_update(*request) || is_stopping_; });
-  *reply = shared_.host.updates(monotonic_now(), *request);
-  return grpc::Status::OK;
+// A waiting call holds no thread: hundreds of entry hosts wait at the same time.
+grpc::ServerUnaryReactor* flow_control_service::News(grpc::CallbackServerContext* /*context*/,
+                                                     const wire::news_request* request,
+                                                     wire::news_reply* reply) {
+  const std::lock_guard lock(shared_.mutex);
+  // gRPC owns the call until its OnDone().
+  auto* call = new update_call(*request, *reply, [this](auto ticket) { cancel_update(ticket); });
+  if (is_stopping_) {
+    call->Finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "stopping"));
+    return call;
+  }
+  call->set_ticket(update_queue_.add(monotonic_now(), *request));
+  update_calls_[call->ticket()] = call;
+  return call;
+}
+
+void flow_control_service::send_updates() {
+  std::vector<update_call*> due;
+  {
+    const std::lock_guard lock(shared_.mutex);
+    const auto now = monotonic_now();
+    const auto is_urgent = [&](const auto& it) { return shared_.host.has_urgent_update(now, it); };
+    for (const auto ticket : update_queue_.take_due(now, is_urgent)) {
+      auto* call = update_calls_.extract(ticket).mapped();
+      call->reply() = shared_.host.updates(now, call->request());
+      due.push_back(call);
+    }
+  }
+  for (auto* it : due)
+    it->Finish(grpc::Status::OK);
+}
+
+void flow_control_service::cancel_update(std::uint64_t ticket) {
+  update_call* call = nullptr;
+  {
+    const std::lock_guard lock(shared_.mutex);
+    if (update_queue_.remove(ticket)) call = update_calls_.extract(ticket).mapped();
+  }
+  if (call != nullptr) call->Finish(grpc::Status::CANCELLED);
 }
 
 void flow_control_service::run_replicators() {
--- a/services/controld/flow_control_service.h
+++ b/services/controld/flow_control_service.h
@@ -5,6 +5,7 @@
 #include "view_writer.h"
 #include "zinniarelay/control/control_host.h"
 #include "zinniarelay/control/flow_operations.h"
+#include "zinniarelay/control/update_queue.h"
 #include "zinniarelay/observe/metric_registry.h"
 
 #include <atomic>
@@ -25,12 +26,15 @@
   std::string view_folder;        ///< folder of the saved view; empty: no view is saved
 };
 
+class update_call;
 class upstream_replicator;
 
 /// Implements the gRPC service flow_control on a control host: declarations of packet flows,
 /// reports of upstreams, updates for entry hosts, and the exchange of declarations and reports
 /// with the other control hosts.
-class flow_control_service final : public wire::flow_control::Service, public flow_operations {
+class flow_control_service final
+    : public wire::flow_control::WithCallbackMethod_News<wire::flow_control::Service>,
+      public flow_operations {
 public:
   /// `execute_effects` sends the pending messages of the host and logs its warnings. Called with
   /// the shared mutex held.
@@ -45,17 +49,20 @@
   /// Replaces the addresses to which a host without a group sends its join requests.
   void set_seeds(std::vector<std::string> seeds);
   metric_registry& metrics() { return metrics_; }
-  /// Logs a newly applied declaration, and wakes the waiting calls of entry hosts and the view
-  /// writer. Called with the shared mutex held, when the host may have applied entries.
+  /// Logs a newly applied declaration and wakes the view writer. Called with the shared mutex held,
+  /// when the host may have applied entries.
   void on_progress();
+  /// Sends the replies to entry hosts that are due. Called without the shared mutex.
+  void send_updates();
 
   answer apply_version(const wire::versioned_declaration& proposed) override;
   std::optional<std::string> read_document() override;
   answer report(const upstream_report& value) override;
   std::optional<upstream_report> find_upstream(const std::string& id) override;
 
-  grpc::Status News(grpc::ServerContext* context, const wire::news_request* request,
-                    wire::news_reply* reply) override;
+  grpc::ServerUnaryReactor* News(grpc::CallbackServerContext* context,
+                                 const wire::news_request* request,
+                                 wire::news_reply* reply) override;
   grpc::Status Spread(grpc::ServerContext* context, const wire::spread_request* request,
                       wire::spread_reply* reply) override;
   grpc::Status Read(grpc::ServerContext* context, const wire::read_request* request,
@@ -83,6 +90,8 @@
   bool is_replicated(std::uint64_t position) const;
   void run_replicators();
   void refresh_replicators();
+  /// Ends the call of an entry host that no longer waits.
+  void cancel_update(std::uint64_t ticket);
   void run_joining();
   /// Restores the saved view and starts the view writer.
   void restore_saved_view();
@@ -92,7 +101,8 @@
   host_state& shared_;
   flow_control_service_settings settings_;
   std::function<void()> execute_effects_;
-  std::condition_variable update_available_; ///< an urgent update of upstreams, or a declaration
+  update_queue update_queue_;
+  std::map<std::uint64_t, update_call*> update_calls_; ///< waiting calls, by ticket
   std::condition_variable stopped_;
   bool is_stopping_ = false;
   std::mutex stub_mutex_;
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -58,7 +58,8 @@
 } // namespace
 
 flow_daemon::flow_daemon(const flow_settings& settings, random_engine engine)
-    : settings_(settings), router_(router_settings(settings), engine),
+    : settings_(settings), engine_(engine),
+      router_(router_settings(settings), random_engine(engine_())),
       readiness_(readiness_settings(settings), monotonic_now()),
       log_rate_limiter_(log_lines_per_second),
       answer_durations_(metrics_.distribution_of("flow_answer_wait_ms")) {}
@@ -87,7 +88,7 @@
   }
   updates_ = std::make_unique<update_client>(
       update_client::identity{settings_.name(), settings_.availability_zone().value},
-      addresses_of(settings_.control_hosts()));
+      addresses_of(settings_.control_hosts()), random_engine(engine_()));
   return success();
 }
 
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -50,6 +50,7 @@
   http_response answer(const http_request& request);
 
   flow_settings settings_;
+  random_engine engine_;
   flow_router router_;
   readiness readiness_;
   std::atomic<bool> is_ready_{false};
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -1,6 +1,7 @@
 #include "update_client.h"
 
 #include "shared/control_channel.h"
+#include "zinniarelay/flow/control_host_search.h"
 #include "zinniarelay/observe/log_line.h"
 
 #include <algorithm>
@@ -13,27 +14,26 @@
 constexpr milliseconds update_wait{500};
 // A reply that takes this much longer than its permitted wait means a lost connection.
 constexpr milliseconds reply_slack{700};
-// The pause after a failed search, doubled each time. It limits the load of requests on control
-// hosts that have lost their quorum.
-constexpr milliseconds min_pause{100};
-constexpr milliseconds max_pause{800};
-// A host without power sends no reply. A request to the next host therefore starts after this
-// time. A complete table takes 60 ms on a link of 2 Mbit/s.
-constexpr milliseconds hedge_interval{60};
+// A control host may take seconds to reply while hundreds of hosts search at the same time. A
+// request that is given up earlier and repeated would add to its load.
+constexpr milliseconds search_wait{1'000};
+constexpr milliseconds search_slack{2'000};
+// How often a search checks whether it has to stop.
+constexpr milliseconds stop_check_interval{200};
 constexpr std::uint32_t max_quorum_age_ms = 1'000;
 constexpr std::size_t max_waiting_replies = 64;
 
 } // namespace
 
-update_client::update_client(identity self, std::vector<std::string> seeds)
-    : self_(std::move(self)), hosts_(std::move(seeds)), worker_([this] { run(); }) {}
+update_client::update_client(identity self, std::vector<std::string> seeds, random_engine engine)
+    : self_(std::move(self)), engine_(engine), hosts_(shuffled(std::move(seeds))),
+      worker_([this] { run(); }) {}
 
 update_client::~update_client() {
   {
     const std::lock_guard lock(mutex_);
     is_stopping_ = true;
   }
-  changed_.notify_all();
   worker_.join();
 }
 
@@ -44,7 +44,24 @@
 
 void update_client::set_seeds(std::vector<std::string> seeds) {
   const std::lock_guard lock(mutex_);
-  hosts_.set_seeds(std::move(seeds));
+  hosts_.set_seeds(shuffled(std::move(seeds)));
+}
+
+// All hosts get the same seeds in the same order. Without another order on each, the first seed
+// would receive the requests of all hosts.
+std::vector<std::string> update_client::shuffled(std::vector<std::string> addresses) {
+  std::shuffle(addresses.begin(), addresses.end(), engine_);
+  return addresses;
+}
+
+random_engine update_client::derived_engine() {
+  const std::lock_guard lock(mutex_);
+  return random_engine(engine_());
+}
+
+std::vector<std::string> update_client::candidates() {
+  const std::lock_guard lock(mutex_);
+  return hosts_.candidates(monotonic_now());
 }
 
 bool update_client::is_stopping() {
@@ -53,20 +70,14 @@
 }
 
 void update_client::run() {
-  auto pause = min_pause;
   bool is_fetched = false;
-  std::unique_lock lock(mutex_);
-  while (!is_stopping_) {
-    const auto address = is_fetched ? hosts_.preferred(monotonic_now()) : std::string();
-    lock.unlock();
-    is_fetched = (!address.empty() && fetch(address)) || search();
-    lock.lock();
+  while (!is_stopping()) {
+    std::string address;
     if (is_fetched) {
-      pause = min_pause;
-    } else if (!is_stopping_) {
-      changed_.wait_for(lock, pause);
-      pause = std::min(2 * pause, max_pause);
+      const std::lock_guard lock(mutex_);
+      address = hosts_.preferred(monotonic_now());
     }
+    is_fetched = (!address.empty() && fetch(address)) || search();
   }
 }
 
@@ -83,71 +94,74 @@
 }
 
 bool update_client::fetch(const std::string& address) {
-  if (connected_ != address || !stub_) {
-    stub_ = wire::flow_control::NewStub(open_control_channel(address));
-    connected_ = address;
-  }
+  auto& connection = stubs_[address];
+  if (!connection) connection = wire::flow_control::NewStub(open_control_channel(address));
   grpc::ClientContext context;
   context.set_deadline(system_clock::now() + update_wait + reply_slack);
   wire::news_reply reply;
-  const auto status = stub_->News(&context, request_for(address, update_wait), &reply);
-  if (status.ok()) return accept(address, std::move(reply));
-  stub_.reset();
+  const auto status = connection->News(&context, request_for(address, update_wait), &reply);
+  if (status.ok()) {
+    std::erase_if(stubs_, [&](const auto& it) { return it.first != address; });
+    return accept(address, std::move(reply));
+  }
+  stubs_.erase(address);
   record_failure(address);
   return false;
 }
 
-std::unique_ptr<update_client::attempt> update_client::begin_attempt(const std::string& address,
-                                                                     grpc::CompletionQueue& queue) {
-  auto out = std::make_unique<attempt>();
-  out->address = address;
-  out->stub = wire::flow_control::NewStub(open_control_channel(address));
-  out->context.set_deadline(system_clock::now() + reply_slack);
-  out->reader = out->stub->AsyncNews(&out->context, request_for(address, milliseconds(0)), &queue);
-  out->reader->Finish(&out->reply, &out->status, out.get());
-  return out;
+void update_client::begin_attempt(const std::string& address, grpc::CompletionQueue& queue) {
+  auto& connection = stubs_[address];
+  if (!connection) connection = wire::flow_control::NewStub(open_control_channel(address));
+  auto& started = attempts_[address];
+  started = std::make_unique<attempt>();
+  started->address = address;
+  started->stub = connection;
+  started->context.set_deadline(system_clock::now() + search_wait + search_slack);
+  auto request = request_for(address, search_wait);
+  request.set_quorum_required(true);
+  started->reader = connection->AsyncNews(&started->context, request, &queue);
+  started->reader->Finish(&started->reply, &started->status, started.get());
+}
+
+bool update_client::finish_attempt(attempt& ended) {
+  if (ended.status.ok()) return accept(ended.address, std::move(ended.reply));
+  stubs_.erase(ended.address);
+  record_failure(ended.address);
+  return false;
 }
 
 // Sends requests to several hosts in parallel, because after a loss of all power the first
 // candidates may restart last.
 bool update_client::search() {
-  std::vector<std::string> addresses;
-  {
-    const std::lock_guard lock(mutex_);
-    addresses = hosts_.candidates(monotonic_now());
-  }
   grpc::CompletionQueue queue;
-  std::vector<std::unique_ptr<attempt>> attempts;
-  std::size_t finished = 0;
-  bool is_found = false;
-  auto next_attempt = system_clock::now();
-  while (!is_found && finished < addresses.size() && !is_stopping()) {
-    const auto now = system_clock::now();
-    const bool is_due = now >= next_attempt || finished == attempts.size();
-    if (is_due && attempts.size() < addresses.size()) {
-      attempts.push_back(begin_attempt(addresses[attempts.size()], queue));
-      next_attempt = now + hedge_interval;
-    }
+  control_host_search schedule(monotonic_now(), derived_engine());
+  std::string found;
+  while (found.empty() && !is_stopping()) {
+    schedule.add(candidates());
+    auto now = monotonic_now();
+    while (const auto due = schedule.take_due(now))
+      begin_attempt(*due, queue);
+    const auto wait = std::min<time_point::duration>(
+        schedule.next_due().value_or(now + stop_check_interval) - now, stop_check_interval);
     void* tag = nullptr;
     bool is_ok = false;
-    const bool has_more = attempts.size() < addresses.size();
-    const auto until = has_more ? next_attempt : now + reply_slack;
+    const auto until =
+        system_clock::now() + std::chrono::duration_cast<system_clock::duration>(wait);
     if (queue.AsyncNext(&tag, &is_ok, until) != grpc::CompletionQueue::GOT_EVENT) continue;
-    ++finished;
     auto& ended = *static_cast<attempt*>(tag);
-    if (ended.status.ok())
-      is_found = accept(ended.address, std::move(ended.reply));
-    else
-      record_failure(ended.address);
+    if (finish_attempt(ended)) found = ended.address;
+    schedule.record_failure(monotonic_now(), ended.address);
   }
-  for (auto& it : attempts)
+  for (auto& [address, it] : attempts_)
     it->context.TryCancel();
   queue.Shutdown();
   void* tag = nullptr;
   bool is_ok = false;
   while (queue.Next(&tag, &is_ok)) {
   }
-  return is_found;
+  attempts_.clear();
+  std::erase_if(stubs_, [&](const auto& it) { return it.first != found; });
+  return !found.empty();
 }
 
 bool update_client::accept(const std::string& address, wire::news_reply reply) {
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "flow.grpc.pb.h"
+#include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/control_host_choice.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <grpcpp/grpcpp.h>
 #include <map>
 #include <memory>
@@ -25,7 +25,9 @@
     std::uint32_t zone = 0;
   };
 
-  update_client(identity self, std::vector<std::string> seeds);
+  /// The engine orders the seeds and varies the pauses, so that entry hosts which start at the
+  /// same time spread their requests.
+  update_client(identity self, std::vector<std::string> seeds, random_engine engine);
   update_client(const update_client&) = delete;
   update_client& operator=(const update_client&) = delete;
   ~update_client();
@@ -43,10 +45,12 @@
     std::uint64_t position = 0;
   };
 
+  using stub = wire::flow_control::Stub;
+
   /// One of the parallel requests of a search.
   struct attempt {
     std::string address;
-    std::unique_ptr<wire::flow_control::Stub> stub;
+    std::shared_ptr<wire::flow_control::Stub> stub;
     grpc::ClientContext context;
     wire::news_reply reply;
     grpc::Status status;
@@ -57,23 +61,29 @@
   /// Requests updates from a host and waits for its reply. Returns false when the request failed or
   /// the host has lost its quorum.
   bool fetch(const std::string& address);
-  /// Requests updates from all hosts, each after `hedge_interval` from the previous one, until one
-  /// with a quorum replies. Returns false when none does.
+  /// Requests updates from all hosts, in the order and with the pauses of control_host_search,
+  /// until one with a quorum replies. Returns false when this client stops before.
   bool search();
-  std::unique_ptr<attempt> begin_attempt(const std::string& address, grpc::CompletionQueue& queue);
+  void begin_attempt(const std::string& address, grpc::CompletionQueue& queue);
+  /// Handles the end of a request of a search. Returns true when its host has a quorum.
+  bool finish_attempt(attempt& ended);
   wire::news_request request_for(const std::string& address, milliseconds wait);
+  random_engine derived_engine();
+  std::vector<std::string> candidates();
+  std::vector<std::string> shuffled(std::vector<std::string> addresses);
   /// Stores a reply for take(). Returns false when its sender has lost its quorum.
   bool accept(const std::string& address, wire::news_reply reply);
   void record_failure(const std::string& address);
   bool is_stopping();
 
   identity self_;
-  std::map<std::string, received_position> positions_; ///< by address
-  std::string connected_;
-  std::unique_ptr<wire::flow_control::Stub> stub_;
+  std::map<std::string, received_position> positions_;       ///< by address
+  std::map<std::string, std::unique_ptr<attempt>> attempts_; ///< of a search, by address
+  /// Connections by address. A search keeps those to hosts that reply without a quorum.
+  std::map<std::string, std::shared_ptr<stub>> stubs_;
 
   std::mutex mutex_;
-  std::condition_variable changed_;
+  random_engine engine_;
   control_host_choice hosts_;
   std::vector<wire::news_reply> replies_;
   bool is_stopping_ = false;
--- a/tests/libraries/control/flow_declarations_test.cpp
+++ b/tests/libraries/control/flow_declarations_test.cpp
@@ -118,13 +118,13 @@
   auto& host = group.host(leader);
   wire::news_request request;
   request.set_source(host.source());
-  BOOST_TEST(host.has_urgent_update(request));
+  BOOST_TEST(host.has_urgent_update(group.now, request));
   BOOST_TEST(host.updates(group.now, request).declaration().version() == 4U);
   request.set_version(4);
-  BOOST_TEST(!host.has_urgent_update(request));
+  BOOST_TEST(!host.has_urgent_update(group.now, request));
   BOOST_TEST(!host.updates(group.now, request).has_declaration());
   request.set_source(host.source() + 1);
-  BOOST_TEST(host.has_urgent_update(request));
+  BOOST_TEST(host.has_urgent_update(group.now, request));
 }
 
 // Guards against a process that exits because a declaration on its disk is damaged.
--- /dev/null
+++ b/tests/libraries/flow/control_host_search_test.cpp
@@ -0,0 +1,69 @@
+#include "zinniarelay/flow/control_host_search.h"
+
+#include "flow_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace zinnia {
+namespace {
+
+using support::time_at;
+
+BOOST_AUTO_TEST_SUITE(control_host_search_test)
+
+// Guards against a host without power that delays the search until its request times out.
+BOOST_AUTO_TEST_CASE(next_host_is_asked_without_waiting_for_a_reply) {
+  control_host_search search(time_at({}), random_engine(1));
+  search.add({"a", "b", "c"});
+  BOOST_TEST(*search.take_due(time_at({})) == "a");
+  BOOST_TEST(!search.take_due(time_at(milliseconds(20))));
+  BOOST_TEST(*search.take_due(time_at(milliseconds(60))) == "b");
+  BOOST_TEST(*search.take_due(time_at(milliseconds(180))) == "c");
+  BOOST_TEST(!search.next_due());
+}
+
+// Guards against a search that waits although its only request has failed.
+BOOST_AUTO_TEST_CASE(next_host_is_asked_at_once_after_a_failure) {
+  control_host_search search(time_at({}), random_engine(1));
+  search.add({"a", "b"});
+  BOOST_TEST(*search.take_due(time_at({})) == "a");
+  search.record_failure(time_at(milliseconds(1)), "a");
+  BOOST_TEST(*search.take_due(time_at(milliseconds(1))) == "b");
+}
+
+// Guards against overloaded control hosts that get further requests from the hosts which wait for
+// them: 194 entry hosts search at the same time, and no control host replies for 10 s.
+BOOST_AUTO_TEST_CASE(silent_host_gets_one_request) {
+  std::size_t requests = 0;
+  for (std::uint64_t host = 0; host < 194; ++host) {
+    control_host_search search(time_at({}), random_engine(host));
+    search.add({"a", "b", "c"});
+    for (milliseconds now{0}; now < milliseconds(10'000); now += milliseconds(10))
+      while (search.take_due(time_at(now)))
+        ++requests;
+  }
+  BOOST_TEST(requests == 3U * 194);
+}
+
+// Guards against hosts that repeat failed requests at a constant rate, and all at the same time.
+BOOST_AUTO_TEST_CASE(pauses_after_failures_grow_and_differ) {
+  std::vector<std::size_t> counts(2);
+  std::vector<time_point> second_requests;
+  for (std::uint64_t host = 0; host < 2; ++host) {
+    control_host_search search(time_at({}), random_engine(host));
+    search.add({"a"});
+    for (milliseconds now{0}; now < milliseconds(10'000); now += milliseconds(1)) {
+      if (!search.take_due(time_at(now))) continue;
+      if (++counts[host] == 2) second_requests.push_back(time_at(now));
+      search.record_failure(time_at(now), "a");
+    }
+    BOOST_TEST(counts[host] <= 14U);
+    BOOST_TEST(counts[host] >= 6U);
+  }
+  BOOST_TEST((second_requests.at(0) != second_requests.at(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace zinnia
