flow: a declaration reaches entry hosts as the routes that differ

Cause: each version was sent whole to each of 194 entry hosts. 1,640 routes are about 100 KB, or 0.4 s on a link of 2 Mbit/s, for a change of one route, and versions follow each other every 0.33 s; besides, a host that asked again before it had put a version in force got it twice. Change: control hosts keep the last six declarations and send the difference from the version that an entry host has, with a digest of the result. A host whose result differs changes nothing and asks for the complete declaration, as does one that is more than five versions behind. Ruled out: compression of each reply (costs processor time for each host and version).

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -7,6 +7,7 @@
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/result.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/declaration_history.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
 #include "zinniarelay/replication/log_store.h"
@@ -147,7 +148,7 @@
   /// Returns the upstreams to replicate: all of them, or the changes since a position.
   wire::spread_request replication_since(std::uint64_t position, bool is_complete) const;
   /// Returns the updates that an entry host does not have yet.
-  wire::news_reply updates(time_point now, const wire::news_request& request) const;
+  wire::news_reply updates(time_point now, const wire::news_request& request);
   /// Returns true when the reply to an entry host must not be delayed: it lacks a change of
   /// content, or all updates of this process. A request that requires a quorum waits for one.
   bool has_urgent_update(time_point now, const wire::news_request& request) const;
@@ -200,6 +201,8 @@
   void expire_hosts(time_point now);
   void maintain_group(time_point now);
   void decode_flows();
+  /// Adds the committed declaration to a reply, as a change where the entry host accepts one.
+  void add_declaration(const wire::news_request& request, wire::news_reply& reply);
   bool has_quorum(time_point now) const;
   /// Whether this host serves its restored view until its first contact with a quorum.
   bool serves_restored_view(time_point now) const;
@@ -225,6 +228,7 @@
   std::optional<group_policy> group_;
   std::uint64_t group_changes_ = 0;
   wire::versioned_declaration flows_;
+  declaration_history history_;
   wire::flow_declaration restored_declaration_; ///< from the restored view
   time_point started_;
   upstream_directory upstreams_;
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -70,6 +70,8 @@
 
   /// Puts a declaration in force. Returns false and changes nothing when it is not newer.
   bool apply(const wire::flow_declaration& declaration);
+  /// Puts a change of the declaration in force. Fails and changes nothing as route_table::apply().
+  result<void> apply(const wire::flow_declaration_change& change) { return routes_.apply(change); }
   /// Records that the declaration in force is at least as new as one that a quorum confirmed.
   void confirm() { is_confirmed_ = true; }
   /// Merges an update from a control host. Returns true when the directory's content changed.
--- a/include/zinniarelay/flow/route_table.h
+++ b/include/zinniarelay/flow/route_table.h
@@ -3,6 +3,7 @@
 #include "flow.pb.h"
 #include "zinniarelay/core/endpoint.h"
 #include "zinniarelay/core/error.h"
+#include "zinniarelay/core/result.h"
 #include "zinniarelay/core/time.h"
 
 #include <cstdint>
@@ -44,6 +45,10 @@
   route_table() = default;
   explicit route_table(const wire::flow_declaration& declaration);
 
+  /// Applies a change of the declaration. Fails with error_kind::conflict and changes nothing when
+  /// the change is based on another version, or when the result would differ from the sender's.
+  result<void> apply(const wire::flow_declaration_change& change);
+
   std::uint64_t version() const { return version_; }
   milliseconds idle_timeout() const { return idle_timeout_; }
   std::size_t size() const { return routes_.size(); }
@@ -51,9 +56,19 @@
   const route* find(const endpoint& address) const;
 
 private:
+  struct entry {
+    route value;
+    std::uint64_t digest = 0;
+  };
+
+  void set_idle_timeout(std::uint32_t value_ms);
+  void set_route(const wire::flow_route& value);
+  std::uint64_t digest_after(const wire::flow_declaration_change& change) const;
+
   std::uint64_t version_ = 0;
   milliseconds idle_timeout_{0};
-  std::unordered_map<endpoint, route> routes_;
+  std::uint64_t digest_ = 0; ///< of all routes, without the idle timeout
+  std::unordered_map<endpoint, entry> routes_;
 };
 
 } // namespace zinnia
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -106,11 +106,13 @@
   if (state_.flows().version() == flows_.declaration().version()) return;
   wire::versioned_declaration next;
   const auto content = decompressed(state_.flows().content());
-  if (content.has_value() && next.ParseFromString(content.value()))
+  if (content.has_value() && next.ParseFromString(content.value())) {
     flows_ = std::move(next);
-  else
-    warnings_.push_back("the declaration of packet flows of version " +
-                        std::to_string(state_.flows().version()) + " cannot be decoded");
+    history_.record(flows_.declaration());
+    return;
+  }
+  warnings_.push_back("the declaration of packet flows of version " +
+                      std::to_string(state_.flows().version()) + " cannot be decoded");
 }
 
 // The view that is saved and restored after a restart.
@@ -235,14 +237,13 @@
   return out;
 }
 
-wire::news_reply control_host::updates(time_point now, const wire::news_request& request) const {
+wire::news_reply control_host::updates(time_point now, const wire::news_request& request) {
   wire::news_reply out;
   out.set_source(source_);
   out.set_position(upstreams_.position());
   const auto position = request.source() == source_ ? request.position() : 0;
   *out.mutable_upstreams() = upstreams_.updates_since(position);
-  if (const auto& committed = committed_declaration(); committed.version() > request.version())
-    *out.mutable_declaration() = committed;
+  add_declaration(request, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
   for (auto& it : member_addresses(request.zone()))
@@ -250,6 +251,17 @@
   return out;
 }
 
+void control_host::add_declaration(const wire::news_request& request, wire::news_reply& reply) {
+  const auto& committed = committed_declaration();
+  if (committed.version() <= request.version()) return;
+  const auto* change =
+      request.accepts_changes() ? history_.change_since(request.version()) : nullptr;
+  if (change != nullptr && change->version() == committed.version())
+    *reply.mutable_change() = *change;
+  else
+    *reply.mutable_declaration() = committed;
+}
+
 bool control_host::has_quorum(time_point now) const {
   return node_.quorum_age(now) <= max_quorum_age;
 }
--- a/libraries/flow/route_table.cpp
+++ b/libraries/flow/route_table.cpp
@@ -1,5 +1,7 @@
 #include "zinniarelay/flow/route_table.h"
 
+#include "zinniarelay/flow/declaration_history.h"
+
 #include <numeric>
 #include <unordered_set>
 
@@ -8,8 +10,10 @@
 
 constexpr milliseconds default_idle_timeout{15'000};
 
-endpoint address_of(const wire::flow_route& route) {
-  return {route.address(), static_cast<std::uint16_t>(route.port())};
+/// `Message` has the fields of an address and port.
+template <class Message>
+endpoint address_of(const Message& value) {
+  return {value.address(), static_cast<std::uint16_t>(value.port())};
 }
 
 } // namespace
@@ -59,25 +63,68 @@
 }
 
 route_table::route_table(const wire::flow_declaration& declaration)
-    : version_(declaration.version()),
-      idle_timeout_(declaration.idle_timeout_ms() > 0 ? milliseconds(declaration.idle_timeout_ms())
-                                                      : default_idle_timeout) {
-  for (const auto& it : declaration.routes()) {
-    route parsed;
-    parsed.name = it.name();
-    parsed.kind = it.kind();
-    parsed.timeout = milliseconds(it.timeout_ms());
-    parsed.latency_objective = milliseconds(it.aim_ms());
-    parsed.priority = it.priority();
-    for (const auto& share : it.services())
-      parsed.services.push_back({share.service(), share.weight()});
-    routes_.emplace(address_of(it), std::move(parsed));
+    : version_(declaration.version()) {
+  set_idle_timeout(declaration.idle_timeout_ms());
+  for (const auto& it : declaration.routes())
+    set_route(it);
+}
+
+void route_table::set_idle_timeout(std::uint32_t value_ms) {
+  idle_timeout_ = value_ms > 0 ? milliseconds(value_ms) : default_idle_timeout;
+}
+
+void route_table::set_route(const wire::flow_route& value) {
+  entry next;
+  next.digest = digest_of(value);
+  next.value.name = value.name();
+  next.value.kind = value.kind();
+  next.value.timeout = milliseconds(value.timeout_ms());
+  next.value.latency_objective = milliseconds(value.aim_ms());
+  next.value.priority = value.priority();
+  for (const auto& it : value.services())
+    next.value.services.push_back({it.service(), it.weight()});
+  auto& slot = routes_[address_of(value)];
+  digest_ += next.digest - slot.digest;
+  slot = std::move(next);
+}
+
+std::uint64_t route_table::digest_after(const wire::flow_declaration_change& change) const {
+  auto out = digest_ + digest_of_idle_timeout(change.idle_timeout_ms());
+  const auto former_digest = [&](const auto& address) {
+    const auto it = routes_.find(address);
+    return it == routes_.end() ? 0 : it->second.digest;
+  };
+  for (const auto& it : change.routes())
+    out += digest_of(it) - former_digest(address_of(it));
+  for (const auto& it : change.removed())
+    out -= former_digest(address_of(it));
+  return out;
+}
+
+result<void> route_table::apply(const wire::flow_declaration_change& change) {
+  const auto place = "change to version " + std::to_string(change.version());
+  if (change.base_version() != version_)
+    return failure(error_kind::conflict, place,
+                   "is based on version " + std::to_string(change.base_version()) +
+                       ", in force is " + std::to_string(version_));
+  if (digest_after(change) != change.digest())
+    return failure(error_kind::conflict, place, "leads to another declaration than the sender's");
+  for (const auto& it : change.removed()) {
+    const auto removed = routes_.find(address_of(it));
+    if (removed == routes_.end()) continue;
+    digest_ -= removed->second.digest;
+    routes_.erase(removed);
   }
+  for (const auto& it : change.routes())
+    set_route(it);
+  set_idle_timeout(change.idle_timeout_ms());
+  version_ = change.version();
+  return success();
 }
 
 const route* route_table::find(const endpoint& address) const {
   const auto it = routes_.find(address);
-  return it == routes_.end() ? nullptr : &it->second;
+  return it == routes_.end() ? nullptr : &it->second.value;
 }
 
 } // namespace zinnia
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -134,19 +134,9 @@
 void flow_daemon::apply_updates(time_point now) {
   for (const auto& it : updates_->take()) {
     router_.merge_update(now, it.upstreams());
-    const auto trust = trust_of(it);
-    if (it.has_declaration()) {
-      const bool has_declaration = router_.routes().version() > 0;
-      if (readiness_.is_acceptable(now, trust, has_declaration) && router_.apply(it.declaration()))
-        log_info("declaration_in_force")
-            .with("version", it.declaration().version())
-            .with("routes", it.declaration().routes_size())
-            .with("source", it.source())
-            .with("trust", name_of(trust))
-            .with("quorum_age_ms", it.quorum_age_ms());
-    }
-    if (trust == declaration_trust::confirmed) router_.confirm();
-    updates_->set_version(router_.routes().version());
+    apply_declaration(now, it);
+    if (trust_of(it) == declaration_trust::confirmed) router_.confirm();
+    updates_->set_version(needs_complete_declaration_ ? 0 : router_.routes().version());
   }
   readiness_.set_serving(router_.routes().version() > 0, router_.upstreams().size() > 0);
   if (readiness_.is_ready() == is_ready_) return;
@@ -156,6 +146,32 @@
       .with("upstreams", router_.upstreams().size());
 }
 
+void flow_daemon::apply_declaration(time_point now, const wire::news_reply& reply) {
+  const auto previous = router_.routes().version();
+  const auto trust = trust_of(reply);
+  if (!readiness_.is_acceptable(now, trust, previous > 0)) return;
+  if (reply.has_change())
+    apply_change(reply.change());
+  else if (reply.has_declaration() && router_.apply(reply.declaration()))
+    needs_complete_declaration_ = false;
+  if (router_.routes().version() == previous) return;
+  log_info("declaration_in_force")
+      .with("version", router_.routes().version())
+      .with("routes", router_.routes().size())
+      .with("source", reply.source())
+      .with("trust", name_of(trust))
+      .with("quorum_age_ms", reply.quorum_age_ms());
+}
+
+// A change for another version answers a request that was sent before the last reply arrived.
+void flow_daemon::apply_change(const wire::flow_declaration_change& change) {
+  if (change.base_version() != router_.routes().version()) return;
+  const auto applied = router_.apply(change);
+  if (applied.has_value()) return;
+  log_warning("declaration_change_refused").with(applied.error());
+  needs_complete_declaration_ = true;
+}
+
 void flow_daemon::handle_packets(time_point now, std::size_t count) {
   last_packet_ = now;
   reset_count_ = 0;
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -42,6 +42,9 @@
   result<void> bind();
   void reload(const std::filesystem::path& settings_file);
   void apply_updates(time_point now);
+  /// Puts the declaration or the change of a reply in force if it is acceptable.
+  void apply_declaration(time_point now, const wire::news_reply& reply);
+  void apply_change(const wire::flow_declaration_change& change);
   void handle_packets(time_point now, std::size_t count);
   void handle_packet(time_point now, std::size_t n);
   void queue_reset(const packet_head& head);
@@ -51,6 +54,7 @@
 
   flow_settings settings_;
   random_engine engine_;
+  bool needs_complete_declaration_ = false; ///< a change led to another declaration
   flow_router router_;
   readiness readiness_;
   std::atomic<bool> is_ready_{false};
--- a/tests/libraries/control/flow_declarations_test.cpp
+++ b/tests/libraries/control/flow_declarations_test.cpp
@@ -127,6 +127,36 @@
   BOOST_TEST(host.has_urgent_update(group.now, request));
 }
 
+// Guards against sending each entry host all routes for a change of one, and against a change for
+// a host that has an unknown version or does not understand changes.
+BOOST_AUTO_TEST_CASE(updates_contain_a_change_where_it_is_accepted) {
+  const auto leader = group.leader();
+  apply(leader, version_of(4));
+  apply(leader, version_of(5));
+  auto& host = group.host(leader);
+  wire::news_request request;
+  request.set_version(4);
+  BOOST_TEST(host.updates(group.now, request).has_declaration());
+  request.set_accepts_changes(true);
+  const auto reply = host.updates(group.now, request);
+  BOOST_TEST(!reply.has_declaration());
+  BOOST_TEST(reply.change().base_version() == 4U);
+  BOOST_TEST(reply.change().version() == 5U);
+  request.set_version(3);
+  BOOST_TEST(host.updates(group.now, request).has_declaration());
+}
+
+// Guards against requests that entry hosts repeat all the time while there is no quorum.
+BOOST_AUTO_TEST_CASE(request_that_requires_a_quorum_waits_for_one) {
+  auto& host = group.host(group.leader());
+  wire::news_request request;
+  request.set_quorum_required(true);
+  BOOST_TEST(host.has_urgent_update(group.now, request));
+  BOOST_TEST(!host.has_urgent_update(group.now + milliseconds(5'000), request));
+  request.set_quorum_required(false);
+  BOOST_TEST(host.has_urgent_update(group.now + milliseconds(5'000), request));
+}
+
 // Guards against a process that exits because a declaration on its disk is damaged.
 BOOST_AUTO_TEST_CASE(damaged_declaration_is_a_warning) {
   memory_storage files;
