flowd: requests stay outstanding beside others, and time to connect grows with failures

An attempt to connect was given up after 200 ms and repeated, which an overloaded control host takes longer to accept, and a preferred host that replied late was given up after 1.2 s. Ruled out: the rate of replies (limited), repeated calls (one outstanding a host). Change: the time to connect is 300 ms, doubled with each failure up to 2.4 s; the request to the preferred host stays outstanding while others are asked; the first request to another host follows after 120 ms. fetch() and search() are one function.

--- a/include/zinniarelay/flow/control_host_search.h
+++ b/include/zinniarelay/flow/control_host_search.h
@@ -15,12 +15,23 @@
 /// failed again after a pause that grows and differs between entry hosts.
 class control_host_search {
 public:
-  control_host_search(time_point now, random_engine engine) : next_new_(now), engine_(engine) {}
+  /// A request that is due.
+  struct request {
+    std::string address;
+    milliseconds connect_timeout; ///< grows with each failure of the host
+
+    friend bool operator==(const request&, const request&) = default;
+  };
+
+  /// `preferred` is the host to ask first, and its reply may take until `patience` has passed
+  /// before the next host is asked; empty for none.
+  control_host_search(time_point now, random_engine engine, const std::string& preferred = "",
+                      milliseconds patience = milliseconds(0));
 
   /// Adds the addresses that are not candidates yet, in the order in which to try them.
   void add(const std::vector<std::string>& addresses);
   /// Returns a control host to which a request is due, which then counts as outstanding.
-  std::optional<std::string> take_due(time_point now);
+  std::optional<request> take_due(time_point now);
   /// Returns when the next request becomes due; no value when all candidates have one outstanding.
   std::optional<time_point> next_due() const;
   /// Ends the outstanding request to a host that failed or that has lost its quorum.
@@ -31,6 +42,7 @@
     std::string address;
     time_point retry;
     milliseconds pause{0}; ///< before the last retry
+    milliseconds connect_timeout{0};
     bool is_outstanding = false;
     bool is_new = true; ///< has not been tried
   };
@@ -40,7 +52,8 @@
 
   std::vector<candidate> candidates_;
   time_point next_new_; ///< when the next candidate that has not been tried is due
-  milliseconds hedge_{0};
+  milliseconds hedge_;  ///< between the last new candidate and the next
+  bool is_first_ = true;
   random_engine engine_;
 };
 
--- a/libraries/flow/control_host_search.cpp
+++ b/libraries/flow/control_host_search.cpp
@@ -5,35 +5,49 @@
 namespace zinnia {
 namespace {
 
-// A host without power sends no reply, so the request to the next host does not wait for one. A
-// complete table takes 60 ms on a link of 2 Mbit/s. The interval doubles with each host, because
-// hosts that are slow to reply are probably overloaded.
-constexpr milliseconds hedge_interval{60};
+// A host without power sends no reply, so the request to the next host does not wait for one. The
+// interval doubles with each host, because hosts that are slow to reply are probably overloaded.
+constexpr milliseconds hedge_interval{120};
+// A host without power does not refuse a connection, and may have power again soon. An overloaded
+// host needs more time to accept one, and another attempt would add to its load.
+constexpr milliseconds min_connect_timeout{300};
+constexpr milliseconds max_connect_timeout{2'400};
 constexpr milliseconds min_pause{100};
 constexpr milliseconds max_pause{1'600};
 
 } // namespace
 
+control_host_search::control_host_search(time_point now, random_engine engine,
+                                         const std::string& preferred, milliseconds patience)
+    : next_new_(now), hedge_(hedge_interval), engine_(engine) {
+  if (preferred.empty()) return;
+  add({preferred});
+  hedge_ = patience;
+}
+
 void control_host_search::add(const std::vector<std::string>& addresses) {
   for (const auto& address : addresses) {
     const bool is_known = std::any_of(candidates_.begin(), candidates_.end(),
                                       [&](const auto& it) { return it.address == address; });
     if (is_known) continue;
-    candidates_.emplace_back().address = address;
+    auto& added = candidates_.emplace_back();
+    added.address = address;
+    added.connect_timeout = min_connect_timeout;
   }
 }
 
-std::optional<std::string> control_host_search::take_due(time_point now) {
+std::optional<control_host_search::request> control_host_search::take_due(time_point now) {
   const bool is_new_due = now >= next_new_ || !has_outstanding();
   for (auto& it : candidates_) {
     if (it.is_outstanding || (it.is_new ? !is_new_due : now < it.retry)) continue;
     if (it.is_new) {
-      hedge_ = hedge_ == milliseconds(0) ? hedge_interval : 2 * hedge_;
       next_new_ = now + hedge_;
+      hedge_ = is_first_ ? hedge_interval : 2 * hedge_;
+      is_first_ = false;
     }
     it.is_new = false;
     it.is_outstanding = true;
-    return it.address;
+    return request{it.address, it.connect_timeout};
   }
   return std::nullopt;
 }
@@ -54,6 +68,7 @@
   if (it == candidates_.end()) return;
   it->is_outstanding = false;
   it->pause = std::clamp(2 * it->pause, min_pause, max_pause);
+  it->connect_timeout = std::min(2 * it->connect_timeout, max_connect_timeout);
   it->retry = now + jittered(it->pause);
 }
 
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -1,7 +1,6 @@
 #include "update_client.h"
 
 #include "shared/control_channel.h"
-#include "zinniarelay/flow/control_host_search.h"
 #include "zinniarelay/observe/log_line.h"
 
 #include <algorithm>
@@ -18,6 +17,7 @@
 // request that is given up earlier and repeated would add to its load.
 constexpr milliseconds search_wait{1'000};
 constexpr milliseconds search_slack{2'000};
+constexpr milliseconds attempt_timeout = search_wait + search_slack;
 // How often a search checks whether it has to stop.
 constexpr milliseconds stop_check_interval{200};
 constexpr std::uint32_t max_quorum_age_ms = 1'000;
@@ -35,6 +35,7 @@
     is_stopping_ = true;
   }
   worker_.join();
+  queue_.Shutdown();
 }
 
 std::vector<wire::news_reply> update_client::take() {
@@ -70,14 +71,11 @@
 }
 
 void update_client::run() {
-  bool is_fetched = false;
+  std::string preferred;
   while (!is_stopping()) {
-    std::string address;
-    if (is_fetched) {
-      const std::lock_guard lock(mutex_);
-      address = hosts_.preferred(monotonic_now());
-    }
-    is_fetched = (!address.empty() && fetch(address)) || search();
+    const bool is_fetched = fetch(preferred);
+    const std::lock_guard lock(mutex_);
+    preferred = is_fetched ? hosts_.preferred(monotonic_now()) : "";
   }
 }
 
@@ -87,42 +85,40 @@
   out.set_host(self_.host);
   out.set_zone(self_.zone);
   out.set_version(version_);
+  out.set_accepts_changes(true);
   out.set_source(received.source);
   out.set_position(received.position);
   out.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
   return out;
 }
 
-bool update_client::fetch(const std::string& address) {
-  auto& connection = stubs_[address];
-  if (!connection) connection = wire::flow_control::NewStub(open_control_channel(address));
-  grpc::ClientContext context;
-  context.set_deadline(system_clock::now() + update_wait + reply_slack);
-  wire::news_reply reply;
-  const auto status = connection->News(&context, request_for(address, update_wait), &reply);
-  if (status.ok()) {
-    std::erase_if(stubs_, [&](const auto& it) { return it.first != address; });
-    return accept(address, std::move(reply));
-  }
-  stubs_.erase(address);
-  record_failure(address);
-  return false;
-}
-
-void update_client::begin_attempt(const std::string& address, grpc::CompletionQueue& queue) {
-  auto& connection = stubs_[address];
-  if (!connection) connection = wire::flow_control::NewStub(open_control_channel(address));
-  auto& started = attempts_[address];
+void update_client::begin_attempt(const control_host_search::request& due, bool is_search) {
+  auto& connection = stubs_[due.address];
+  if (!connection)
+    connection =
+        wire::flow_control::NewStub(open_control_channel(due.address, due.connect_timeout));
+  auto& started = attempts_[due.address];
   started = std::make_unique<attempt>();
-  started->address = address;
+  started->address = due.address;
   started->stub = connection;
-  started->context.set_deadline(system_clock::now() + search_wait + search_slack);
-  auto request = request_for(address, search_wait);
-  request.set_quorum_required(true);
-  started->reader = connection->AsyncNews(&started->context, request, &queue);
+  started->context.set_deadline(system_clock::now() + attempt_timeout);
+  auto request = request_for(due.address, is_search ? search_wait : update_wait);
+  request.set_quorum_required(is_search);
+  started->reader = connection->AsyncNews(&started->context, request, &queue_);
   started->reader->Finish(&started->reply, &started->status, started.get());
 }
 
+update_client::attempt* update_client::next_ended(time_point until) {
+  void* tag = nullptr;
+  bool is_ok = false;
+  const auto wait = std::max<time_point::duration>(until - monotonic_now(), microseconds(0));
+  const auto deadline =
+      system_clock::now() + std::chrono::duration_cast<system_clock::duration>(wait);
+  const bool has_event =
+      queue_.AsyncNext(&tag, &is_ok, deadline) == grpc::CompletionQueue::GOT_EVENT;
+  return has_event ? static_cast<attempt*>(tag) : nullptr;
+}
+
 bool update_client::finish_attempt(attempt& ended) {
   if (ended.status.ok()) return accept(ended.address, std::move(ended.reply));
   stubs_.erase(ended.address);
@@ -132,42 +128,46 @@
 
 // Sends requests to several hosts in parallel, because after a loss of all power the first
 // candidates may restart last.
-bool update_client::search() {
-  grpc::CompletionQueue queue;
-  control_host_search schedule(monotonic_now(), derived_engine());
+bool update_client::fetch(const std::string& preferred) {
+  control_host_search schedule(monotonic_now(), derived_engine(), preferred,
+                               update_wait + reply_slack);
   std::string found;
   while (found.empty() && !is_stopping()) {
     schedule.add(candidates());
-    auto now = monotonic_now();
+    const auto now = monotonic_now();
     while (const auto due = schedule.take_due(now))
-      begin_attempt(*due, queue);
-    const auto wait = std::min<time_point::duration>(
-        schedule.next_due().value_or(now + stop_check_interval) - now, stop_check_interval);
-    void* tag = nullptr;
-    bool is_ok = false;
-    const auto until =
-        system_clock::now() + std::chrono::duration_cast<system_clock::duration>(wait);
-    if (queue.AsyncNext(&tag, &is_ok, until) != grpc::CompletionQueue::GOT_EVENT) continue;
-    auto& ended = *static_cast<attempt*>(tag);
-    if (finish_attempt(ended)) found = ended.address;
-    schedule.record_failure(monotonic_now(), ended.address);
+      begin_attempt(*due, due->address != preferred);
+    const auto next_check = now + stop_check_interval;
+    auto* ended = next_ended(std::min(next_check, schedule.next_due().value_or(next_check)));
+    if (ended == nullptr) continue;
+    if (finish_attempt(*ended)) found = ended->address;
+    schedule.record_failure(monotonic_now(), ended->address);
+    attempts_.erase(std::string(ended->address));
   }
+  cancel_attempts();
+  if (!preferred.empty() && found != preferred) record_failure(preferred);
+  std::erase_if(stubs_, [&](const auto& it) { return it.first != found; });
+  return !found.empty();
+}
+
+void update_client::cancel_attempts() {
   for (auto& [address, it] : attempts_)
     it->context.TryCancel();
-  queue.Shutdown();
-  void* tag = nullptr;
-  bool is_ok = false;
-  while (queue.Next(&tag, &is_ok)) {
+  while (!attempts_.empty()) {
+    void* tag = nullptr;
+    bool is_ok = false;
+    if (!queue_.Next(&tag, &is_ok)) return;
+    attempts_.erase(std::string(static_cast<attempt*>(tag)->address));
   }
-  attempts_.clear();
-  std::erase_if(stubs_, [&](const auto& it) { return it.first != found; });
-  return !found.empty();
 }
 
 bool update_client::accept(const std::string& address, wire::news_reply reply) {
   const bool is_stale = reply.quorum_age_ms() > max_quorum_age_ms;
   if (is_stale) record_failure(address);
   positions_[address] = {reply.source(), reply.position()};
+  // The next request does not wait until the owner has put the declaration in force.
+  if (!is_stale && reply.has_declaration()) version_ = reply.declaration().version();
+  if (!is_stale && reply.has_change()) version_ = reply.change().version();
   const std::lock_guard lock(mutex_);
   if (!is_stale && hosts_.record_success(address))
     log_info("control_host_regained").with("control_host", address);
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -4,6 +4,7 @@
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/control_host_choice.h"
+#include "zinniarelay/flow/control_host_search.h"
 
 #include <atomic>
 #include <grpcpp/grpcpp.h>
@@ -47,7 +48,7 @@
 
   using stub = wire::flow_control::Stub;
 
-  /// One of the parallel requests of a search.
+  /// One of the parallel requests for updates.
   struct attempt {
     std::string address;
     std::shared_ptr<wire::flow_control::Stub> stub;
@@ -58,14 +59,16 @@
   };
 
   void run();
-  /// Requests updates from a host and waits for its reply. Returns false when the request failed or
-  /// the host has lost its quorum.
-  bool fetch(const std::string& address);
-  /// Requests updates from all hosts, in the order and with the pauses of control_host_search,
-  /// until one with a quorum replies. Returns false when this client stops before.
-  bool search();
-  void begin_attempt(const std::string& address, grpc::CompletionQueue& queue);
-  /// Handles the end of a request of a search. Returns true when its host has a quorum.
+  /// Requests updates from the preferred host; when it does not reply in time, and when there is
+  /// none, from all hosts in the order and with the pauses of control_host_search, until one with a
+  /// quorum replies. Returns false when this client stops before.
+  bool fetch(const std::string& preferred);
+  /// A request of a search may wait for a quorum.
+  void begin_attempt(const control_host_search::request& due, bool is_search);
+  /// Returns the next request that has ended; null when there is none until the given time.
+  attempt* next_ended(time_point until);
+  void cancel_attempts();
+  /// Handles the end of a request. Returns true when its host has a quorum.
   bool finish_attempt(attempt& ended);
   wire::news_request request_for(const std::string& address, milliseconds wait);
   random_engine derived_engine();
@@ -81,6 +84,7 @@
   std::map<std::string, std::unique_ptr<attempt>> attempts_; ///< of a search, by address
   /// Connections by address. A search keeps those to hosts that reply without a quorum.
   std::map<std::string, std::shared_ptr<stub>> stubs_;
+  grpc::CompletionQueue queue_;
 
   std::mutex mutex_;
   random_engine engine_;
--- a/tests/libraries/control/update_queue_test.cpp
+++ b/tests/libraries/control/update_queue_test.cpp
@@ -48,8 +48,10 @@
 // Guards against a host that never gets its turn while others have urgent updates all the time.
 BOOST_AUTO_TEST_CASE(each_host_gets_its_reply_within_a_second) {
   update_queue queue;
+  constexpr std::size_t hosts = 194;
   std::vector<std::uint64_t> first;
-  for (int n = 0; n < 194; ++n)
+  first.reserve(hosts);
+  for (std::size_t n = 0; n < hosts; ++n)
     first.push_back(queue.add(at({}), request_of(2'000)));
   std::vector<std::uint64_t> answered;
   for (milliseconds now{0}; now <= milliseconds(1'000); now += tick) {
--- a/tests/libraries/flow/control_host_search_test.cpp
+++ b/tests/libraries/flow/control_host_search_test.cpp
@@ -15,20 +15,46 @@
 BOOST_AUTO_TEST_CASE(next_host_is_asked_without_waiting_for_a_reply) {
   control_host_search search(time_at({}), random_engine(1));
   search.add({"a", "b", "c"});
-  BOOST_TEST(*search.take_due(time_at({})) == "a");
-  BOOST_TEST(!search.take_due(time_at(milliseconds(20))));
-  BOOST_TEST(*search.take_due(time_at(milliseconds(60))) == "b");
-  BOOST_TEST(*search.take_due(time_at(milliseconds(180))) == "c");
+  BOOST_TEST(search.take_due(time_at({}))->address == "a");
+  BOOST_TEST(!search.take_due(time_at(milliseconds(100))));
+  BOOST_TEST(search.take_due(time_at(milliseconds(120)))->address == "b");
+  BOOST_TEST(!search.take_due(time_at(milliseconds(230))));
+  BOOST_TEST(search.take_due(time_at(milliseconds(240)))->address == "c");
   BOOST_TEST(!search.next_due());
 }
 
+// Guards against requests to all control hosts while the preferred one holds a request, and
+// against an entry host that gives up its request to an overloaded host and sends it again.
+BOOST_AUTO_TEST_CASE(preferred_host_has_time_to_reply) {
+  control_host_search search(time_at({}), random_engine(1), "p", milliseconds(1'200));
+  search.add({"a", "p"});
+  BOOST_TEST(search.take_due(time_at({}))->address == "p");
+  BOOST_TEST(!search.take_due(time_at(milliseconds(1'190))));
+  BOOST_TEST(search.take_due(time_at(milliseconds(1'200)))->address == "a");
+  BOOST_TEST(!search.take_due(time_at(milliseconds(9'000))));
+}
+
+// Guards against attempts to connect that are given up and repeated while the host is overloaded.
+BOOST_AUTO_TEST_CASE(time_to_connect_grows_with_failures) {
+  control_host_search search(time_at({}), random_engine(1));
+  search.add({"a"});
+  auto now = time_at({});
+  for (const int expected_ms : {300, 600, 1'200, 2'400, 2'400}) {
+    const auto due = search.take_due(now);
+    BOOST_TEST_REQUIRE(due.has_value());
+    BOOST_TEST(due->connect_timeout.count() == expected_ms);
+    search.record_failure(now, "a");
+    now += milliseconds(2'000);
+  }
+}
+
 // Guards against a search that waits although its only request has failed.
 BOOST_AUTO_TEST_CASE(next_host_is_asked_at_once_after_a_failure) {
   control_host_search search(time_at({}), random_engine(1));
   search.add({"a", "b"});
-  BOOST_TEST(*search.take_due(time_at({})) == "a");
+  BOOST_TEST(search.take_due(time_at({}))->address == "a");
   search.record_failure(time_at(milliseconds(1)), "a");
-  BOOST_TEST(*search.take_due(time_at(milliseconds(1))) == "b");
+  BOOST_TEST(search.take_due(time_at(milliseconds(1)))->address == "b");
 }
 
 // Guards against overloaded control hosts that get further requests from the hosts which wait for
