flow, flowd: packets wait for the first update, and a resumed host opens no flow on an old view

Cause 1: an entry host that was paused decides on the opening packets in its socket with the upstreams of before the pause. meta/prove, paused for 4 s while an upstream leaves: 17 of 60 flows opened on the upstream that had left. Ruled out: an update that is already in the socket (it was requested before and does not show what happened since). A gap of 1 s in the loop of the process is a suspension: opening packets are dropped until an update arrives that was requested since, at most for 1.5 s. Packets that cannot be decided for want of a declaration or of upstreams are held for up to 800 ms and decided with the next update. The test host_without_declaration_drops_opening_packets expected the drop; its successor requires that the packet is held and still not reset. flow_decision has the members action, reason and destination. Tests: flow_router_test, held_packets_test; two cases with real processes in meta/prove.

--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -25,14 +25,22 @@
   milliseconds report_timeout{4'000};
   /// An upstream that did not answer opening packets is suspect for this long.
   milliseconds suspect_period{1'000};
+  /// After a suspension of the process, opening packets are dropped until an update that was
+  /// requested since then has arrived, at most for this long.
+  milliseconds outdated_view_timeout{1'500};
   choice_settings choice;
 };
 
 /// The decision on one packet.
 struct flow_decision {
-  enum class action { forward, reset, drop };
+  enum class action_type {
+    forward,
+    reset,
+    drop,
+    hold, ///< decide again when an update of a control host has arrived
+  };
   /// Why the action was chosen; each reason has a counter.
-  enum class reason {
+  enum class reason_type {
     opened,       ///< a new flow was placed
     reopened,     ///< repeated opening packet, sent to the same upstream
     moved,        ///< repeated opening packet, sent to another upstream
@@ -41,13 +49,14 @@
     no_upstream,  ///< no ready upstream of the service is known
     unknown_tag,  ///< the tag does not name a known upstream
     not_a_caller, ///< a packet that only upstreams send
-    not_ready,    ///< no declaration, or no such route in an unconfirmed one
+    not_ready,    ///< no declaration or upstreams yet, or no such route in an unconfirmed one
+    outdated,     ///< no update since a suspension of the process
   };
-  static constexpr std::size_t reason_count = 9;
+  static constexpr std::size_t reason_count = 10;
 
-  action what = action::drop;
-  reason why = reason::not_ready;
-  endpoint to;                              ///< forward: the upstream's address
+  action_type action = action_type::drop;
+  reason_type reason = reason_type::not_ready;
+  endpoint destination;                     ///< forward: the upstream's address
   const std::string* upstream_id = nullptr; ///< forward: valid until the next call
   std::uint32_t route_tag = 0;              ///< forward: written into the packet
   /// Time since the opening; set for the first packet that shows that the caller has an answer.
@@ -55,7 +64,7 @@
 };
 
 /// Returns the reason as used in logs and metrics, for instance "no_route".
-const char* name_of(flow_decision::reason reason);
+const char* name_of(flow_decision::reason_type reason);
 
 /// Decides on each packet of a caller. A packet of an open flow is routed by its tag
 /// alone, so any host can forward any packet. Only opening packets depend on the
@@ -76,13 +85,17 @@
   void confirm() { is_confirmed_ = true; }
   /// Merges an update from a control host. Returns true when the directory's content changed.
   bool merge_update(time_point now, const wire::upstream_news& update);
+  /// Records that the process did not run until now: upstreams may have left meanwhile.
+  void record_suspension(time_point now) { resumed_ = now; }
+  /// Records that the merged updates include one that was requested at this time.
+  void record_update_request(time_point requested);
   /// Removes idle flows and expired upstreams, at most every 100 ms.
   void tick(time_point now);
 
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
   const flow_table& flows() const { return flows_; }
-  std::uint64_t count_of(flow_decision::reason reason) const;
+  std::uint64_t count_of(flow_decision::reason_type reason) const;
 
 private:
   /// Health of one upstream, as observed from the packets of callers.
@@ -95,9 +108,10 @@
   /// Decides on an opening packet.
   flow_decision open_flow(time_point now, const packet_head& head);
   static bool is_opening(time_point now, const flow_table::flow& flow);
+  bool is_outdated(time_point now) const;
   /// Decides on a packet of an open flow.
   flow_decision route_open_flow(time_point now, const packet_head& head);
-  flow_decision forward(const upstream_directory::entry& to, flow_decision::reason why) const;
+  flow_decision forward(const upstream_directory::entry& to, flow_decision::reason_type why) const;
   /// Returns the upstream for a new flow; null when none is ready. The excluded upstream is
   /// chosen only if it is the only one.
   const upstream_directory::entry* select_upstream(time_point now, const std::string& service,
@@ -116,6 +130,7 @@
   std::map<std::string, std::vector<std::uint64_t>> ready_upstreams_; ///< incarnations by service
   bool is_confirmed_ = false; ///< whether a quorum confirmed the declaration in force
   std::optional<time_point> last_update_;
+  std::optional<time_point> resumed_; ///< end of a suspension; unset after an update since then
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
 };
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -5,8 +5,8 @@
 namespace zinnia {
 namespace {
 
-using action = flow_decision::action;
-using reason = flow_decision::reason;
+using action = flow_decision::action_type;
+using reason = flow_decision::reason_type;
 
 // A caller abandons an attempt 1.4 s after its first opening packet.
 constexpr milliseconds opening_timeout{1'500};
@@ -17,22 +17,30 @@
 // A single timeout may be a lost packet, so it does not make an upstream suspect.
 constexpr std::uint32_t suspect_after_timeouts = 2;
 
+/// Returns a decision that forwards nothing.
+flow_decision decision_of(action action, reason reason) {
+  flow_decision out;
+  out.action = action;
+  out.reason = reason;
+  return out;
+}
+
 } // namespace
 
-const char* name_of(flow_decision::reason reason) {
+const char* name_of(flow_decision::reason_type reason) {
   constexpr std::array<const char*, flow_decision::reason_count> names{
-      "opened",      "reopened",    "moved",        "routed",   "no_route",
-      "no_upstream", "unknown_tag", "not_a_caller", "not_ready"};
+      "opened",      "reopened",    "moved",        "routed",    "no_route",
+      "no_upstream", "unknown_tag", "not_a_caller", "not_ready", "outdated"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
 flow_decision flow_router::route(time_point now, const packet_head& head) {
   flow_decision out;
   if (head.is_open && head.is_answer)
-    out = {action::drop, reason::not_a_caller, {}, nullptr, 0, std::nullopt};
+    out = decision_of(action::drop, reason::not_a_caller);
   else
     out = head.is_open ? open_flow(now, head) : route_open_flow(now, head);
-  ++counts_.at(static_cast<std::size_t>(out.why));
+  ++counts_.at(static_cast<std::size_t>(out.reason));
   return out;
 }
 
@@ -43,15 +51,24 @@
   return !flow.is_closed && !flow.is_answered && now - flow.opened <= opening_timeout;
 }
 
+// A suspended process may hold opening packets whose callers have given up, and it would place
+// them on upstreams that have left in the meantime. The callers repeat their opening packets.
+// A host that reaches no control host serves with the upstreams that it has (P9).
+bool flow_router::is_outdated(time_point now) const {
+  return resumed_ && now - *resumed_ < settings_.outdated_view_timeout;
+}
+
+void flow_router::record_update_request(time_point requested) {
+  if (resumed_ && requested >= *resumed_) resumed_.reset();
+}
+
 flow_decision flow_router::open_flow(time_point now, const packet_head& head) {
-  if (routes_.version() == 0)
-    return {action::drop, reason::not_ready, {}, nullptr, 0, std::nullopt};
+  if (routes_.version() == 0) return decision_of(action::hold, reason::not_ready);
+  if (is_outdated(now)) return decision_of(action::drop, reason::outdated);
   const auto* route = routes_.find(head.destination);
-  // A newer declaration may have the route. The caller repeats its opening packet, which is
-  // then decided by the declaration in force by that time.
-  if (route == nullptr && !is_confirmed_)
-    return {action::drop, reason::not_ready, {}, nullptr, 0, std::nullopt};
-  if (route == nullptr) return {action::reset, reason::no_route, {}, nullptr, 0, std::nullopt};
+  // A newer declaration may have the route.
+  if (route == nullptr && !is_confirmed_) return decision_of(action::hold, reason::not_ready);
+  if (route == nullptr) return decision_of(action::reset, reason::no_route);
   const auto key = head.key();
   std::uint64_t excluded = 0;
   auto why = reason::opened;
@@ -71,13 +88,14 @@
   }
   const auto& service = route->service_of(std::hash<flow_key>{}(key));
   const auto* chosen = select_upstream(now, service, excluded);
-  if (chosen == nullptr) return {action::reset, reason::no_upstream, {}, nullptr, 0, std::nullopt};
+  if (chosen == nullptr) return decision_of(action::reset, reason::no_upstream);
   auto& flow = flows_.open(now, key, chosen->report.incarnation());
   flow.opening_copies = head.acknowledged;
   return forward(*chosen, why);
 }
 
 flow_decision flow_router::route_open_flow(time_point now, const packet_head& head) {
+  if (upstreams_.size() == 0) return decision_of(action::hold, reason::not_ready);
   const auto key = head.key();
   std::optional<milliseconds> answered_after;
   const auto* to = upstreams_.find_tag(head.route_tag);
@@ -95,14 +113,14 @@
     }
   }
   if (head.is_end || head.is_reset) flows_.close(key);
-  if (to == nullptr) return {action::drop, reason::unknown_tag, {}, nullptr, 0, std::nullopt};
+  if (to == nullptr) return decision_of(action::drop, reason::unknown_tag);
   auto out = forward(*to, reason::routed);
   out.answered_after = answered_after;
   return out;
 }
 
 flow_decision flow_router::forward(const upstream_directory::entry& to,
-                                   flow_decision::reason why) const {
+                                   flow_decision::reason_type why) const {
   return {action::forward, why, to.report.address, &to.report.id, to.route_tag, std::nullopt};
 }
 
@@ -186,7 +204,7 @@
     it = upstreams_.find(it->first) == nullptr ? health_observations_.erase(it) : std::next(it);
 }
 
-std::uint64_t flow_router::count_of(flow_decision::reason reason) const {
+std::uint64_t flow_router::count_of(flow_decision::reason_type reason) const {
   return counts_.at(static_cast<std::size_t>(reason));
 }
 
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -10,6 +10,9 @@
 constexpr std::uint32_t log_lines_per_second = 100;
 constexpr milliseconds publish_interval{1'000};
 constexpr std::uint32_t max_confirmed_quorum_age_ms = 1'500;
+// The loop runs at least every 50 ms. After a longer gap the process was suspended or stopped, and
+// its view of upstreams may be outdated.
+constexpr milliseconds min_suspension{1'000};
 // A stopping host exits this long before the end of stop_grace.
 constexpr milliseconds exit_margin{1'000};
 constexpr std::string_view metrics_path = "/metrics";
@@ -101,9 +104,11 @@
 
 void flow_daemon::run(requests& requested, const std::filesystem::path& settings_file) {
   settings_watch watch(settings_file);
+  last_iteration_ = monotonic_now();
   while (true) {
     const auto count = socket_->receive();
     const auto now = monotonic_now();
+    detect_suspension(now);
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
     router_.tick(now);
@@ -119,6 +124,15 @@
   log_info("stopped").with("open_flows", router_.flows().size());
 }
 
+void flow_daemon::detect_suspension(time_point now) {
+  const auto gap = now - std::exchange(last_iteration_, now);
+  if (gap < min_suspension) return;
+  router_.record_suspension(now);
+  updates_->request_immediate_reply();
+  log_warning("resumed").with("suspended_ms",
+                              std::chrono::duration_cast<milliseconds>(gap).count());
+}
+
 // Only the addresses of control hosts are reloaded. Addresses and names of a running host stay.
 void flow_daemon::reload(const std::filesystem::path& settings_file) {
   const auto reloaded = flow_settings::load(settings_file);
@@ -132,12 +146,15 @@
 }
 
 void flow_daemon::apply_updates(time_point now) {
-  for (const auto& it : updates_->take()) {
-    router_.merge_update(now, it.upstreams());
-    apply_declaration(now, it);
-    if (trust_of(it) == declaration_trust::confirmed) router_.confirm();
+  const auto updates = updates_->take();
+  for (const auto& [reply, requested] : updates) {
+    router_.merge_update(now, reply.upstreams());
+    apply_declaration(now, reply);
+    if (trust_of(reply) == declaration_trust::confirmed) router_.confirm();
+    router_.record_update_request(requested);
     updates_->set_version(needs_complete_declaration_ ? 0 : router_.routes().version());
   }
+  if (!updates.empty()) release_held_packets(now);
   readiness_.set_serving(router_.routes().version() > 0, router_.upstreams().size() > 0);
   if (readiness_.is_ready() == is_ready_) return;
   is_ready_ = readiness_.is_ready();
@@ -174,31 +191,46 @@
 
 void flow_daemon::handle_packets(time_point now, std::size_t count) {
   last_packet_ = now;
-  reset_count_ = 0;
-  for (std::size_t n = 0; n < count; ++n)
-    handle_packet(now, n);
-  unsent_ += socket_->flush();
+  for (std::size_t n = 0; n < count; ++n) {
+    const auto head = platform::decode_head(socket_->received(n));
+    if (head)
+      handle_packet(now, *head, socket_->received_with_headroom(n));
+    else
+      ++malformed_;
+  }
+  flush();
 }
 
-void flow_daemon::handle_packet(time_point now, std::size_t n) {
-  const auto packet = socket_->received(n);
-  const auto head = platform::decode_head(packet);
-  if (!head) {
-    ++malformed_;
-    return;
+// Packets that still cannot be decided are held again, for the rest of their time.
+void flow_daemon::release_held_packets(time_point now) {
+  auto packets = held_.take(now);
+  std::size_t queued = 0;
+  for (auto& it : packets) {
+    handle_packet(it.arrived, it.head, it.bytes);
+    if (++queued % packet_socket::batch == 0) flush();
   }
-  const auto decision = router_.route(now, *head);
-  log_decision(now, *head, decision);
+  flush();
+}
+
+void flow_daemon::handle_packet(time_point now, const packet_head& head,
+                                std::span<std::byte> bytes) {
+  const auto decision = router_.route(now, head);
+  log_decision(now, head, decision);
   if (decision.answered_after)
     answer_durations_.record(static_cast<double>(decision.answered_after->count()));
-  if (decision.what == flow_decision::action::reset) return queue_reset(*head);
-  if (decision.what != flow_decision::action::forward) return;
+  if (decision.action == flow_decision::action_type::hold) return held_.add(now, head, bytes);
+  if (decision.action == flow_decision::action_type::reset) return queue_reset(head);
+  if (decision.action != flow_decision::action_type::forward) return;
   const auto number = platform::id_number(*decision.upstream_id);
   if (!number) return;
-  platform::write_route_tag(packet, decision.route_tag);
-  const auto bytes = socket_->received_with_headroom(n);
+  platform::write_route_tag(bytes.subspan(packet_socket::headroom), decision.route_tag);
   platform::write_prefix(bytes.first<platform::prefix_size>(), *number);
-  socket_->queue(decision.to, bytes);
+  socket_->queue(decision.destination, bytes);
+}
+
+void flow_daemon::flush() {
+  unsent_ += socket_->flush();
+  reset_count_ = 0;
 }
 
 // Callers receive at the port of the packet address, independent of the source port in the packet.
@@ -210,11 +242,11 @@
 
 void flow_daemon::log_decision(time_point now, const packet_head& head,
                                const flow_decision& decision) {
-  using reason = flow_decision::reason;
-  if (decision.why == reason::routed || !log_rate_limiter_.try_acquire(now)) return;
-  log_line line(decision.what == flow_decision::action::forward ? log_level::info
-                                                                : log_level::warning,
-                name_of(decision.why));
+  using reason = flow_decision::reason_type;
+  if (decision.reason == reason::routed || !log_rate_limiter_.try_acquire(now)) return;
+  log_line line(decision.action == flow_decision::action_type::forward ? log_level::info
+                                                                       : log_level::warning,
+                name_of(decision.reason));
   line.with("caller", head.source).with("service_address", head.destination);
   line.with("copies", head.acknowledged).with("version", router_.routes().version());
   if (decision.upstream_id == nullptr) {
@@ -222,7 +254,7 @@
     return;
   }
   const auto* upstream = router_.upstreams().find_tag(decision.route_tag);
-  line.with("upstream", *decision.upstream_id).with("address", decision.to);
+  line.with("upstream", *decision.upstream_id).with("address", decision.destination);
   if (upstream == nullptr) return;
   const auto age = std::chrono::duration_cast<milliseconds>(now - upstream->last_report);
   line.with("open_flows", router_.flows().open_flows(upstream->report.incarnation()))
@@ -232,13 +264,15 @@
 void flow_daemon::publish(time_point now) {
   next_publish_ = now + publish_interval;
   for (std::size_t n = 0; n < flow_decision::reason_count; ++n) {
-    const auto why = static_cast<flow_decision::reason>(n);
+    const auto why = static_cast<flow_decision::reason_type>(n);
     metrics_.gauge_of("packets", std::string("decision=") + name_of(why))
         .set(static_cast<double>(router_.count_of(why)));
   }
   metrics_.gauge_of("packets_malformed").set(static_cast<double>(malformed_));
   metrics_.gauge_of("packets_unsent").set(static_cast<double>(unsent_));
   metrics_.gauge_of("open_flows").set(static_cast<double>(router_.flows().size()));
+  metrics_.gauge_of("packets_held").set(static_cast<double>(held_.size()));
+  metrics_.gauge_of("packets_held_dropped").set(static_cast<double>(held_.dropped()));
   metrics_.gauge_of("upstreams").set(static_cast<double>(router_.upstreams().size()));
   metrics_.gauge_of("declaration_version").set(static_cast<double>(router_.routes().version()));
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -6,6 +6,7 @@
 #include "zinniarelay/config/flow_settings.h"
 #include "zinniarelay/config/settings_watch.h"
 #include "zinniarelay/flow/flow_router.h"
+#include "zinniarelay/flow/held_packets.h"
 #include "zinniarelay/flow/readiness.h"
 #include "zinniarelay/http/http_server.h"
 #include "zinniarelay/observe/log_rate_limiter.h"
@@ -15,6 +16,7 @@
 #include <atomic>
 #include <filesystem>
 #include <memory>
+#include <span>
 
 namespace zinnia::flowd {
 
@@ -41,12 +43,19 @@
 
   result<void> bind();
   void reload(const std::filesystem::path& settings_file);
+  /// Detects that the process did not run for a while.
+  void detect_suspension(time_point now);
   void apply_updates(time_point now);
   /// Puts the declaration or the change of a reply in force if it is acceptable.
   void apply_declaration(time_point now, const wire::news_reply& reply);
   void apply_change(const wire::flow_declaration_change& change);
   void handle_packets(time_point now, std::size_t count);
-  void handle_packet(time_point now, std::size_t n);
+  /// `bytes` is the packet, preceded by the headroom of packet_socket. It stays valid until
+  /// flush().
+  void handle_packet(time_point now, const packet_head& head, std::span<std::byte> bytes);
+  /// Decides on the packets that waited for an update.
+  void release_held_packets(time_point now);
+  void flush();
   void queue_reset(const packet_head& head);
   void log_decision(time_point now, const packet_head& head, const flow_decision& decision);
   void publish(time_point now);
@@ -56,6 +65,7 @@
   random_engine engine_;
   bool needs_complete_declaration_ = false; ///< a change led to another declaration
   flow_router router_;
+  held_packets held_;
   readiness readiness_;
   std::atomic<bool> is_ready_{false};
   log_rate_limiter log_rate_limiter_;
@@ -68,6 +78,7 @@
   std::array<std::array<std::byte, platform::head_size>, packet_socket::batch> resets_{};
   std::size_t reset_count_ = 0;
   time_point last_packet_;
+  time_point last_iteration_; ///< of the loop in run()
   time_point next_publish_;
   std::uint64_t malformed_ = 0;
   std::uint64_t unsent_ = 0; ///< datagrams that the system refused
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -38,9 +38,9 @@
   queue_.Shutdown();
 }
 
-std::vector<wire::news_reply> update_client::take() {
+std::vector<update_client::update> update_client::take() {
   const std::lock_guard lock(mutex_);
-  return std::exchange(replies_, {});
+  return std::exchange(updates_, {});
 }
 
 void update_client::set_seeds(std::vector<std::string> seeds) {
@@ -100,9 +100,12 @@
   auto& started = attempts_[due.address];
   started = std::make_unique<attempt>();
   started->address = due.address;
+  started->requested = monotonic_now();
   started->stub = connection;
   started->context.set_deadline(system_clock::now() + attempt_timeout);
-  auto request = request_for(due.address, is_search ? search_wait : update_wait);
+  auto wait = is_search ? search_wait : update_wait;
+  if (is_immediate_reply_required_.exchange(false)) wait = milliseconds(0);
+  auto request = request_for(due.address, wait);
   request.set_quorum_required(is_search);
   started->reader = connection->AsyncNews(&started->context, request, &queue_);
   started->reader->Finish(&started->reply, &started->status, started.get());
@@ -120,7 +123,7 @@
 }
 
 bool update_client::finish_attempt(attempt& ended) {
-  if (ended.status.ok()) return accept(ended.address, std::move(ended.reply));
+  if (ended.status.ok()) return accept(ended);
   stubs_.erase(ended.address);
   record_failure(ended.address);
   return false;
@@ -161,7 +164,9 @@
   }
 }
 
-bool update_client::accept(const std::string& address, wire::news_reply reply) {
+bool update_client::accept(const attempt& ended) {
+  const auto& address = ended.address;
+  const auto& reply = ended.reply;
   const bool is_stale = reply.quorum_age_ms() > max_quorum_age_ms;
   if (is_stale) record_failure(address);
   positions_[address] = {reply.source(), reply.position()};
@@ -174,12 +179,12 @@
   hosts_.set_reported({reply.control_hosts().begin(), reply.control_hosts().end()});
   // The owner has stopped calling take(). Without the positions, the next reply is complete again
   // and fills the gap of the dropped replies.
-  if (replies_.size() >= max_waiting_replies) {
-    replies_.clear();
+  if (updates_.size() >= max_waiting_replies) {
+    updates_.clear();
     positions_.clear();
     return !is_stale;
   }
-  replies_.push_back(std::move(reply));
+  updates_.push_back({reply, ended.requested});
   return !is_stale;
 }
 
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -35,8 +35,16 @@
 
   /// Replaces the seeds; the control hosts named by replies stay.
   void set_seeds(std::vector<std::string> seeds);
+  /// A reply of a control host.
+  struct update {
+    wire::news_reply reply;
+    time_point requested; ///< when the request was sent
+  };
+
   /// Returns the replies since the last call, oldest first.
-  std::vector<wire::news_reply> take();
+  std::vector<update> take();
+  /// Makes the next request ask for an immediate reply.
+  void request_immediate_reply() { is_immediate_reply_required_ = true; }
   /// Sets the version of the declaration in force, which the next request names.
   void set_version(std::uint64_t version) { version_ = version; }
 
@@ -51,6 +59,7 @@
   /// One of the parallel requests for updates.
   struct attempt {
     std::string address;
+    time_point requested;
     std::shared_ptr<wire::flow_control::Stub> stub;
     grpc::ClientContext context;
     wire::news_reply reply;
@@ -75,7 +84,7 @@
   std::vector<std::string> candidates();
   std::vector<std::string> shuffled(std::vector<std::string> addresses);
   /// Stores a reply for take(). Returns false when its sender has lost its quorum.
-  bool accept(const std::string& address, wire::news_reply reply);
+  bool accept(const attempt& ended);
   void record_failure(const std::string& address);
   bool is_stopping();
 
@@ -89,9 +98,10 @@
   std::mutex mutex_;
   random_engine engine_;
   control_host_choice hosts_;
-  std::vector<wire::news_reply> replies_;
+  std::vector<update> updates_;
   bool is_stopping_ = false;
   std::atomic<std::uint64_t> version_{0};
+  std::atomic<bool> is_immediate_reply_required_{false};
   std::thread worker_;
 };
 
