flowd: refused connections to starting control hosts are repeated after 50 ms

Ruled out: shorter pauses after timeouts (an overloaded control host does not answer either, and repeated attempts add to its load). Change: a refusal, which the system of the control host sends without its process, is repeated after 50 ms, up to 20 times; longer pauses follow only then. What remains is that the seeds start 0.3 s after the other control hosts, which no entry host asks. Tests: control_host_search_test; with record_failure() in place of record_refusal() the host is found up to 200 ms late.

--- a/include/zinniarelay/flow/control_host_search.h
+++ b/include/zinniarelay/flow/control_host_search.h
@@ -36,6 +36,9 @@
   std::optional<time_point> next_due() const;
   /// Ends the outstanding request to a host that failed or that has lost its quorum.
   void record_failure(time_point now, const std::string& address);
+  /// Ends the outstanding request to a host that refused the connection: it has power, and its
+  /// process is about to start.
+  void record_refusal(time_point now, const std::string& address);
 
 private:
   struct candidate {
@@ -43,11 +46,13 @@
     time_point retry;
     milliseconds pause{0}; ///< before the last retry
     milliseconds connect_timeout{0};
+    std::uint32_t refusals = 0;
     bool is_outstanding = false;
     bool is_new = true; ///< has not been tried
   };
 
   bool has_outstanding() const;
+  candidate* find(const std::string& address);
   milliseconds jittered(milliseconds value);
 
   std::vector<candidate> candidates_;
--- a/libraries/flow/control_host_search.cpp
+++ b/libraries/flow/control_host_search.cpp
@@ -14,6 +14,11 @@
 constexpr milliseconds max_connect_timeout{2'400};
 constexpr milliseconds min_pause{100};
 constexpr milliseconds max_pause{1'600};
+// The system of the control host refuses a connection without its process, so that an early
+// repetition adds no load to it.
+constexpr milliseconds refusal_pause{50};
+// A host whose process does not start in this time is treated like one that fails.
+constexpr std::uint32_t max_refusals = 20;
 
 } // namespace
 
@@ -63,15 +68,28 @@
 }
 
 void control_host_search::record_failure(time_point now, const std::string& address) {
-  const auto it = std::find_if(candidates_.begin(), candidates_.end(),
-                               [&](const auto& each) { return each.address == address; });
-  if (it == candidates_.end()) return;
+  auto* const it = find(address);
+  if (it == nullptr) return;
   it->is_outstanding = false;
   it->pause = std::clamp(2 * it->pause, min_pause, max_pause);
   it->connect_timeout = std::min(2 * it->connect_timeout, max_connect_timeout);
   it->retry = now + jittered(it->pause);
 }
 
+void control_host_search::record_refusal(time_point now, const std::string& address) {
+  auto* const it = find(address);
+  if (it == nullptr) return;
+  if (++it->refusals > max_refusals) return record_failure(now, address);
+  it->is_outstanding = false;
+  it->retry = now + jittered(refusal_pause);
+}
+
+control_host_search::candidate* control_host_search::find(const std::string& address) {
+  const auto it = std::find_if(candidates_.begin(), candidates_.end(),
+                               [&](const auto& each) { return each.address == address; });
+  return it == candidates_.end() ? nullptr : &*it;
+}
+
 bool control_host_search::has_outstanding() const {
   return std::any_of(candidates_.begin(), candidates_.end(),
                      [](const auto& it) { return it.is_outstanding; });
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds search_wait{1'000};
 constexpr milliseconds search_slack{2'000};
 constexpr milliseconds attempt_timeout = search_wait + search_slack;
+// A host without power does not answer at all. One whose process has not started yet refuses the
+// connection within a round trip.
+constexpr milliseconds max_refusal_time{100};
 // How often a search checks whether it has to stop.
 constexpr milliseconds stop_check_interval{200};
 constexpr std::uint32_t max_quorum_age_ms = 1'000;
@@ -129,6 +132,11 @@
   return false;
 }
 
+bool update_client::is_refusal(const attempt& ended) {
+  return ended.status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         monotonic_now() - ended.requested < max_refusal_time;
+}
+
 // Sends requests to several hosts in parallel, because after a loss of all power the first
 // candidates may restart last.
 bool update_client::fetch(const std::string& preferred) {
@@ -144,7 +152,10 @@
     auto* ended = next_ended(std::min(next_check, schedule.next_due().value_or(next_check)));
     if (ended == nullptr) continue;
     if (finish_attempt(*ended)) found = ended->address;
-    schedule.record_failure(monotonic_now(), ended->address);
+    if (is_refusal(*ended))
+      schedule.record_refusal(monotonic_now(), ended->address);
+    else
+      schedule.record_failure(monotonic_now(), ended->address);
     attempts_.erase(std::string(ended->address));
   }
   cancel_attempts();
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -79,6 +79,8 @@
   void cancel_attempts();
   /// Handles the end of a request. Returns true when its host has a quorum.
   bool finish_attempt(attempt& ended);
+  /// Returns true when the host refused the connection.
+  static bool is_refusal(const attempt& ended);
   wire::news_request request_for(const std::string& address, milliseconds wait);
   random_engine derived_engine();
   std::vector<std::string> candidates();
--- a/tests/libraries/flow/control_host_search_test.cpp
+++ b/tests/libraries/flow/control_host_search_test.cpp
@@ -48,6 +48,36 @@
   }
 }
 
+// Guards against a search that finds control hosts hundreds of milliseconds after their start. After
+// a loss of all power they refuse connections until their processes have started.
+BOOST_AUTO_TEST_CASE(starting_host_is_found_soon) {
+  for (std::uint64_t host = 0; host < 20; ++host) {
+    control_host_search search(time_at({}), random_engine(host));
+    search.add({"a"});
+    milliseconds now{0};
+    const milliseconds started{500};
+    for (; now < milliseconds(2'000); ++now) {
+      if (!search.take_due(time_at(now))) continue;
+      if (now >= started) break;
+      search.record_refusal(time_at(now), "a");
+    }
+    BOOST_TEST((now - started).count() <= 75);
+  }
+}
+
+// Guards against an unlimited rate of requests to a host whose process does not start.
+BOOST_AUTO_TEST_CASE(refusals_are_repeated_less_often_after_a_while) {
+  control_host_search search(time_at({}), random_engine(1));
+  search.add({"a"});
+  int requests = 0;
+  for (milliseconds now{0}; now < milliseconds(10'000); ++now) {
+    if (!search.take_due(time_at(now))) continue;
+    ++requests;
+    search.record_refusal(time_at(now), "a");
+  }
+  BOOST_TEST(requests <= 34);
+}
+
 // Guards against a search that waits although its only request has failed.
 BOOST_AUTO_TEST_CASE(next_host_is_asked_at_once_after_a_failure) {
   control_host_search search(time_at({}), random_engine(1));
