controld, flowd: control hosts announce their start to entry hosts

Cause: after a loss of all power an entry host knows only the seeds of its settings, and asked no other control host. Ruled out: a list of control hosts on the entry host (it has no disk); polls of more control hosts (none is known). A searching entry host asks a host that has started at once, and cancels a request that it sent to it before.

--- a/include/zinniarelay/config/flow_settings.h
+++ b/include/zinniarelay/config/flow_settings.h
@@ -25,6 +25,8 @@
   endpoint packet_address() const { return packet_address_; }
   endpoint ready_address() const { return ready_address_; } ///< HTTP
   const std::optional<endpoint>& metrics_address() const { return metrics_address_; }
+  /// UDP; control hosts send notices of their start to it.
+  const std::optional<endpoint>& notice_address() const { return notice_address_; }
   /// gRPC addresses of some control hosts, which supply the addresses of the others.
   const std::vector<endpoint>& control_hosts() const { return control_hosts_; }
   /// Interval between the reports of one upstream.
@@ -42,6 +44,7 @@
   endpoint packet_address_;
   endpoint ready_address_;
   std::optional<endpoint> metrics_address_;
+  std::optional<endpoint> notice_address_;
   std::vector<endpoint> control_hosts_;
   milliseconds report_interval_{0};
   milliseconds stop_grace_{0};
--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -3,6 +3,7 @@
 #include "flow.pb.h"
 #include "operator.pb.h"
 #include "zinniarelay/control/group_policy.h"
+#include "zinniarelay/control/start_notices.h"
 #include "zinniarelay/core/identifiers.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/result.h"
@@ -143,6 +144,8 @@
   /// Merges a report that an upstream sent to this host.
   upstream_directory::merge_result merge_report(time_point now, const upstream_report& value);
   const upstream_directory& upstreams() const { return upstreams_; }
+  /// The entry hosts that get a notice when this host starts; saved with the view.
+  start_notices& notices() { return notices_; }
   /// Merges the upstreams that another control host replicates to this one.
   wire::spread_reply merge_replicated(time_point now, const wire::spread_request& request);
   /// Returns the upstreams to replicate: all of them, or the changes since a position.
@@ -232,6 +235,7 @@
   wire::flow_declaration restored_declaration_; ///< from the restored view
   time_point started_;
   upstream_directory upstreams_;
+  start_notices notices_;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/flow/control_host_search.h
+++ b/include/zinniarelay/flow/control_host_search.h
@@ -36,6 +36,8 @@
   std::optional<time_point> next_due() const;
   /// Ends the outstanding request to a host that failed or that has lost its quorum.
   void record_failure(time_point now, const std::string& address);
+  /// Makes a request to a host due that has started just now. No request to it is outstanding.
+  void record_start(time_point now, const std::string& address);
   /// Ends the outstanding request to a host that refused the connection: it has power, and its
   /// process is about to start.
   void record_refusal(time_point now, const std::string& address);
--- a/libraries/config/flow_settings.cpp
+++ b/libraries/config/flow_settings.cpp
@@ -24,6 +24,7 @@
   out.packet_address_ = map.address("packet_address", presence::required).value_or(endpoint{});
   out.ready_address_ = map.address("ready_address", presence::required).value_or(endpoint{});
   out.metrics_address_ = map.address("metrics_address", presence::optional);
+  out.notice_address_ = map.address("notice_address", presence::optional);
   out.control_hosts_ = read_seeds(map, "control_hosts", "control_port", sink);
   out.report_interval_ = map.duration("report_interval", presence::optional, interval_range)
                              .value_or(default_report_interval);
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -94,6 +94,7 @@
   opened.group_changes_ = group_changes_;
   opened.restored_declaration_ = committed_declaration();
   opened.upstreams_ = std::move(upstreams_);
+  opened.notices_ = std::move(notices_);
   *this = std::move(opened);
   return success();
 }
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -122,6 +122,11 @@
   wire::upstream_news update;
   update.mutable_reports()->Swap(view.mutable_upstreams());
   upstreams_.merge(now, update);
+  std::vector<endpoint> entry_hosts;
+  for (const auto& it : view.entry_hosts())
+    if (const auto address = endpoint::parse(it); address.has_value())
+      entry_hosts.push_back(address.value());
+  notices_.restore(now, entry_hosts);
 }
 
 wire::recalled_view control_host::current_view(time_point now, std::uint64_t wall_ms) const {
@@ -133,6 +138,8 @@
         now - it.last_report < max_report_age)
       *out.add_upstreams() = it.report.to_wire();
   });
+  for (const auto& it : notices_.present(now))
+    out.add_entry_hosts(it.to_string());
   return out;
 }
 
--- a/libraries/flow/control_host_search.cpp
+++ b/libraries/flow/control_host_search.cpp
@@ -84,6 +84,16 @@
   it->retry = now + jittered(refusal_pause);
 }
 
+void control_host_search::record_start(time_point now, const std::string& address) {
+  add({address});
+  auto& started = *find(address);
+  started = {};
+  started.address = address;
+  started.connect_timeout = min_connect_timeout;
+  started.retry = now;
+  started.is_new = false;
+}
+
 control_host_search::candidate* control_host_search::find(const std::string& address) {
   const auto it = std::find_if(candidates_.begin(), candidates_.end(),
                                [&](const auto& each) { return each.address == address; });
--- a/meta/flow-layout.sh
+++ b/meta/flow-layout.sh
@@ -38,6 +38,7 @@
 packet_address: "$(entry_ip "$n"):$packet_port"
 ready_address: "$(entry_ip "$n"):7601"
 metrics_address: "$(entry_ip "$n"):7602"
+notice_address: "$(entry_ip "$n"):7603"
 control_hosts: [$seeds]
 report_interval: 500 ms
 END
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -78,6 +78,21 @@
 
   void set_seeds(std::vector<std::string> seeds) override { flows_.set_seeds(std::move(seeds)); }
 
+  void record_presence(const endpoint& entry_host) override {
+    const std::lock_guard lock(shared_.mutex);
+    shared_.host.notices().record_presence(monotonic_now(), entry_host);
+  }
+
+  std::vector<endpoint> take_due_notices() override {
+    const std::lock_guard lock(shared_.mutex);
+    return shared_.host.notices().take_due(monotonic_now());
+  }
+
+  std::uint64_t source() override {
+    const std::lock_guard lock(shared_.mutex);
+    return shared_.host.source();
+  }
+
   void stop() override {
     flows_.stop();
     if (server_) server_->Shutdown(system_clock::now() + operation_timeout);
--- a/services/controld/control_server.h
+++ b/services/controld/control_server.h
@@ -29,6 +29,12 @@
   virtual metric_registry& flow_metrics() = 0;
   /// Replaces the addresses to which a host without a group sends its join requests.
   virtual void set_seeds(std::vector<std::string> seeds) = 0;
+  /// Records that an entry host asks for notices of the next start.
+  virtual void record_presence(const endpoint& entry_host) = 0;
+  /// Returns the entry hosts to notify now of the start of this host.
+  virtual std::vector<endpoint> take_due_notices() = 0;
+  /// Returns the random number of this process.
+  virtual std::uint64_t source() = 0;
   virtual void stop() = 0;
 };
 
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -1,6 +1,7 @@
 #include "control_server.h"
 #include "platform/operator_api.h"
 #include "shared/daemon_command_line.h"
+#include "shared/notice_socket.h"
 #include "zinniarelay/config/control_settings.h"
 #include "zinniarelay/config/settings_watch.h"
 #include "zinniarelay/control/group_identity.h"
@@ -108,6 +109,20 @@
   server.set_seeds(seeds);
 }
 
+// Entry hosts ask for notices by datagrams, and get them when this host starts.
+void exchange_notices(notice_socket& socket, controld::control_server& server,
+                      const std::string& address) {
+  while (const auto received = socket.receive())
+    if (received->notice.kind() == wire::host_notice::entry_host_present)
+      server.record_presence(received->sender);
+  wire::host_notice notice;
+  notice.set_kind(wire::host_notice::control_host_started);
+  notice.set_control_host(address);
+  notice.set_source(server.source());
+  for (const auto& it : server.take_due_notices())
+    socket.send(it, notice);
+}
+
 int serve(const std::filesystem::path& settings_file, const control_settings& settings,
           const control_host_settings& host_settings, storage& files) {
   // Signals are blocked before any thread starts, so only the loop below receives them.
@@ -127,6 +142,8 @@
   if (!server.has_value()) return report(server.error());
   auto http = start_http(settings, *server.value());
   if (!http.has_value()) return report(http.error());
+  auto notices = notice_socket::create(settings.listen_address());
+  if (!notices.has_value()) return report(notices.error());
   log_info("control_host_started").with("address", address);
   const timespec interval{0, std::chrono::nanoseconds(tick_interval).count()};
   settings_watch watch(settings_file);
@@ -134,6 +151,7 @@
     signal = sigtimedwait(&signals, nullptr, &interval);
     if (watch.has_changed(monotonic_now(), signal == SIGHUP))
       reload(settings_file, *server.value());
+    exchange_notices(*notices.value(), *server.value(), address);
     if (const auto fault = server.value()->tick()) return report(*fault);
   }
   log_info("control_host_stopping");
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::uint32_t log_lines_per_second = 100;
 constexpr milliseconds publish_interval{1'000};
+constexpr milliseconds presence_interval{6'000};
 constexpr std::uint32_t max_confirmed_quorum_age_ms = 1'500;
 // The loop runs at least every 50 ms. After a longer gap the process was suspended or stopped, and
 // its view of upstreams may be outdated.
@@ -89,6 +90,10 @@
                                             "metrics"));
     metrics_server_ = std::move(metrics);
   }
+  if (settings_.notice_address()) {
+    ZINNIA_TRY(notices, notice_socket::create(*settings_.notice_address()));
+    notices_ = std::move(notices);
+  }
   updates_ = std::make_unique<update_client>(
       update_client::identity{settings_.name(), settings_.availability_zone().value},
       addresses_of(settings_.control_hosts()), random_engine(engine_()));
@@ -109,6 +114,7 @@
     const auto count = socket_->receive();
     const auto now = monotonic_now();
     detect_suspension(now);
+    exchange_notices(now);
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
     router_.tick(now);
@@ -124,6 +130,23 @@
   log_info("stopped").with("open_flows", router_.flows().size());
 }
 
+void flow_daemon::exchange_notices(time_point now) {
+  if (!notices_) return;
+  while (const auto received = notices_->receive()) {
+    const auto& notice = received->notice;
+    if (notice.kind() != wire::host_notice::control_host_started) continue;
+    if (!endpoint::parse(notice.control_host()).has_value()) continue;
+    updates_->record_start(notice.control_host(), notice.source());
+  }
+  if (now < next_presence_) return;
+  next_presence_ = now + presence_interval;
+  wire::host_notice presence;
+  presence.set_kind(wire::host_notice::entry_host_present);
+  for (const auto& it : updates_->control_hosts())
+    if (const auto address = endpoint::parse(it); address.has_value())
+      notices_->send(address.value(), presence);
+}
+
 void flow_daemon::detect_suspension(time_point now) {
   const auto gap = now - std::exchange(last_iteration_, now);
   if (gap < min_suspension) return;
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -2,6 +2,7 @@
 
 #include "packet_socket.h"
 #include "platform/packet_codec.h"
+#include "shared/notice_socket.h"
 #include "update_client.h"
 #include "zinniarelay/config/flow_settings.h"
 #include "zinniarelay/config/settings_watch.h"
@@ -43,6 +44,8 @@
 
   result<void> bind();
   void reload(const std::filesystem::path& settings_file);
+  /// Receives notices of control hosts that have started, and asks for the next ones.
+  void exchange_notices(time_point now);
   /// Detects that the process did not run for a while.
   void detect_suspension(time_point now);
   void apply_updates(time_point now);
@@ -73,6 +76,7 @@
   distribution& answer_durations_;
   std::unique_ptr<packet_socket> socket_;
   std::unique_ptr<update_client> updates_;
+  std::unique_ptr<notice_socket> notices_;
   std::unique_ptr<http_server> ready_server_;
   std::unique_ptr<http_server> metrics_server_;
   std::array<std::array<std::byte, platform::head_size>, packet_socket::batch> resets_{};
@@ -80,6 +84,7 @@
   time_point last_packet_;
   time_point last_iteration_; ///< of the loop in run()
   time_point next_publish_;
+  time_point next_presence_;
   std::uint64_t malformed_ = 0;
   std::uint64_t unsent_ = 0; ///< datagrams that the system refused
 };
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -21,8 +21,10 @@
 // A host without power does not answer at all. One whose process has not started yet refuses the
 // connection within a round trip.
 constexpr milliseconds max_refusal_time{100};
-// How often a search checks whether it has to stop.
+// How often a request is checked for a stop, and a search also for control hosts that have started.
 constexpr milliseconds stop_check_interval{200};
+constexpr milliseconds start_check_interval{20};
+constexpr std::size_t max_sources = 256; // control hosts
 constexpr std::uint32_t max_quorum_age_ms = 1'000;
 constexpr std::size_t max_waiting_replies = 64;
 
@@ -145,17 +147,15 @@
   std::string found;
   while (found.empty() && !is_stopping()) {
     schedule.add(candidates());
+    if (preferred.empty()) ask_started(schedule);
     const auto now = monotonic_now();
     while (const auto due = schedule.take_due(now))
       begin_attempt(*due, due->address != preferred);
-    const auto next_check = now + stop_check_interval;
+    const auto next_check = now + (preferred.empty() ? start_check_interval : stop_check_interval);
     auto* ended = next_ended(std::min(next_check, schedule.next_due().value_or(next_check)));
     if (ended == nullptr) continue;
     if (finish_attempt(*ended)) found = ended->address;
-    if (is_refusal(*ended))
-      schedule.record_refusal(monotonic_now(), ended->address);
-    else
-      schedule.record_failure(monotonic_now(), ended->address);
+    record_end(schedule, *ended);
     attempts_.erase(std::string(ended->address));
   }
   cancel_attempts();
@@ -164,6 +164,42 @@
   return !found.empty();
 }
 
+void update_client::record_end(control_host_search& schedule, const attempt& ended) {
+  const auto now = monotonic_now();
+  if (ended.is_repeated)
+    schedule.record_start(now, ended.address);
+  else if (is_refusal(ended))
+    schedule.record_refusal(now, ended.address);
+  else
+    schedule.record_failure(now, ended.address);
+}
+
+void update_client::ask_started(control_host_search& schedule) {
+  std::vector<std::string> started;
+  {
+    const std::lock_guard lock(mutex_);
+    started.swap(started_);
+  }
+  for (const auto& it : started) {
+    const auto outstanding = attempts_.find(it);
+    if (outstanding == attempts_.end()) {
+      schedule.record_start(monotonic_now(), it);
+      continue;
+    }
+    outstanding->second->is_repeated = true;
+    outstanding->second->context.TryCancel();
+  }
+}
+
+void update_client::record_start(const std::string& address, std::uint64_t source) {
+  const std::lock_guard lock(mutex_);
+  if (sources_.size() >= max_sources) sources_.clear();
+  auto& last = sources_[address];
+  if (last == source) return;
+  last = source;
+  if (started_.size() < max_sources) started_.push_back(address);
+}
+
 void update_client::cancel_attempts() {
   for (auto& [address, it] : attempts_)
     it->context.TryCancel();
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -43,6 +43,11 @@
 
   /// Returns the replies since the last call, oldest first.
   std::vector<update> take();
+  /// Returns the known control hosts.
+  std::vector<std::string> control_hosts() { return candidates(); }
+  /// Records that a control host has started; `source` is the number of its process. A search then
+  /// sends a request to it at once.
+  void record_start(const std::string& address, std::uint64_t source);
   /// Makes the next request ask for an immediate reply.
   void request_immediate_reply() { is_immediate_reply_required_ = true; }
   /// Sets the version of the declaration in force, which the next request names.
@@ -60,6 +65,7 @@
   struct attempt {
     std::string address;
     time_point requested;
+    bool is_repeated = false; ///< cancelled because its host has started
     std::shared_ptr<wire::flow_control::Stub> stub;
     grpc::ClientContext context;
     wire::news_reply reply;
@@ -76,6 +82,11 @@
   void begin_attempt(const control_host_search::request& due, bool is_search);
   /// Returns the next request that has ended; null when there is none until the given time.
   attempt* next_ended(time_point until);
+  /// Makes the search ask the control hosts that have started, in place of requests that were sent
+  /// before the start.
+  void ask_started(control_host_search& schedule);
+  /// Records the end of an unsuccessful request.
+  void record_end(control_host_search& schedule, const attempt& ended);
   void cancel_attempts();
   /// Handles the end of a request. Returns true when its host has a quorum.
   bool finish_attempt(attempt& ended);
@@ -101,6 +112,8 @@
   random_engine engine_;
   control_host_choice hosts_;
   std::vector<update> updates_;
+  std::map<std::string, std::uint64_t> sources_; ///< of the latest notices, by control host
+  std::vector<std::string> started_;             ///< control hosts, since the last take
   bool is_stopping_ = false;
   std::atomic<std::uint64_t> version_{0};
   std::atomic<bool> is_immediate_reply_required_{false};
--- a/tests/libraries/flow/control_host_search_test.cpp
+++ b/tests/libraries/flow/control_host_search_test.cpp
@@ -48,8 +48,8 @@
   }
 }
 
-// Guards against a search that finds control hosts hundreds of milliseconds after their start. After
-// a loss of all power they refuse connections until their processes have started.
+// Guards against a search that finds control hosts hundreds of milliseconds after their start.
+// After a loss of all power they refuse connections until their processes have started.
 BOOST_AUTO_TEST_CASE(starting_host_is_found_soon) {
   for (std::uint64_t host = 0; host < 20; ++host) {
     control_host_search search(time_at({}), random_engine(host));
@@ -65,6 +65,23 @@
   }
 }
 
+// Guards against a search that waits for a pause, or asks only the seeds, although another control
+// host has announced its start.
+BOOST_AUTO_TEST_CASE(started_host_is_asked_at_once) {
+  control_host_search search(time_at({}), random_engine(1));
+  search.add({"a"});
+  search.take_due(time_at({}));
+  search.record_start(time_at(milliseconds(10)), "d");
+  BOOST_TEST(search.take_due(time_at(milliseconds(10)))->address == "d");
+  for (int n = 0; n < 5; ++n)
+    search.record_failure(time_at(milliseconds(20)), "a");
+  search.record_start(time_at(milliseconds(30)), "a");
+  const auto due = search.take_due(time_at(milliseconds(30)));
+  BOOST_TEST_REQUIRE(due.has_value());
+  BOOST_TEST(due->address == "a");
+  BOOST_TEST(due->connect_timeout.count() == 300);
+}
+
 // Guards against an unlimited rate of requests to a host whose process does not start.
 BOOST_AUTO_TEST_CASE(refusals_are_repeated_less_often_after_a_while) {
   control_host_search search(time_at({}), random_engine(1));
