flow: a zone that is cut off is avoided as a whole

Cause: each upstream of a zone that is cut off got two flows before it was avoided, and again after each second. Ruled out: contact with control hosts as the sign (a cut of the core alone would then confine each zone to its own upstreams); single flows as probes (each costs a caller 200 ms). Change: zone_health. Three timeouts of several upstreams of a zone, without an answer or a new report from it in between, make the zone suspect; contact ends it, at the latest 3 s.

--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -8,6 +8,7 @@
 #include "zinniarelay/flow/route_table.h"
 #include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
+#include "zinniarelay/flow/zone_health.h"
 
 #include <array>
 #include <cstdint>
@@ -117,8 +118,10 @@
   const upstream_directory::entry* select_upstream(time_point now, const std::string& service,
                                                    std::uint64_t excluded);
   bool is_suspect(time_point now, const upstream_directory::entry& upstream) const;
-  void record_answer(time_point now, std::uint64_t upstream);
+  void record_answer(time_point now, const upstream_directory::entry& upstream);
   void record_timeout(time_point now, std::uint64_t upstream);
+  /// Records contact with the zone of an upstream if its report arrived now.
+  void record_report(time_point now, std::uint64_t upstream);
   void index_services();
 
   flow_router_settings settings_;
@@ -127,6 +130,7 @@
   upstream_directory upstreams_;
   flow_table flows_;
   std::unordered_map<std::uint64_t, health_observation> health_observations_;
+  zone_health zone_health_;
   std::map<std::string, std::vector<std::uint64_t>> ready_upstreams_; ///< incarnations by service
   bool is_confirmed_ = false; ///< whether a quorum confirmed the declaration in force
   std::optional<time_point> last_update_;
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -104,12 +104,11 @@
     const auto* existing = head.route_tag == 0 ? flows_.find(key) : nullptr;
     to = existing == nullptr ? nullptr : upstreams_.find(existing->upstream);
   } else {
-    const auto upstream = to->report.incarnation();
-    auto& flow = flows_.record_packet(now, key, upstream);
+    auto& flow = flows_.record_packet(now, key, to->report.incarnation());
     if (!flow.is_answered) {
       flow.is_answered = true;
       answered_after = std::chrono::duration_cast<milliseconds>(now - flow.opened);
-      record_answer(now, upstream);
+      record_answer(now, *to);
     }
   }
   if (head.is_end || head.is_reset) flows_.close(key);
@@ -147,6 +146,8 @@
 }
 
 bool flow_router::is_suspect(time_point now, const upstream_directory::entry& upstream) const {
+  if (upstream.report.zone != settings_.zone && zone_health_.is_suspect(now, upstream.report.zone))
+    return true;
   const auto it = health_observations_.find(upstream.report.incarnation());
   const bool has_observation = it != health_observations_.end();
   const auto last_answer = has_observation ? it->second.last_answer : time_point{};
@@ -159,8 +160,9 @@
          now - it->second.last_timeout < settings_.suspect_period;
 }
 
-void flow_router::record_answer(time_point now, std::uint64_t upstream) {
-  auto& observation = health_observations_[upstream];
+void flow_router::record_answer(time_point now, const upstream_directory::entry& upstream) {
+  zone_health_.record_contact(upstream.report.zone);
+  auto& observation = health_observations_[upstream.report.incarnation()];
   observation.last_answer = now;
   observation.timeouts = 0;
 }
@@ -169,6 +171,14 @@
   auto& observation = health_observations_[upstream];
   observation.last_timeout = now;
   ++observation.timeouts;
+  if (const auto* entry = upstreams_.find(upstream); entry != nullptr)
+    zone_health_.record_timeout(now, entry->report.zone, upstream);
+}
+
+void flow_router::record_report(time_point now, std::uint64_t upstream) {
+  const auto* entry = upstreams_.find(upstream);
+  if (entry != nullptr && entry->last_report == now)
+    zone_health_.record_contact(entry->report.zone);
 }
 
 bool flow_router::apply(const wire::flow_declaration& declaration) {
@@ -179,9 +189,14 @@
 
 bool flow_router::merge_update(time_point now, const wire::upstream_news& update) {
   last_update_ = now;
-  if (!upstreams_.merge(now, update)) return false;
-  index_services();
-  return true;
+  const bool is_changed = upstreams_.merge(now, update);
+  for (const auto& it : update.reports())
+    if (const auto report = upstream_report::from_wire(it); report.has_value())
+      record_report(now, report.value().incarnation());
+  for (const auto& it : update.refreshed())
+    record_report(now, it.incarnation());
+  if (is_changed) index_services();
+  return is_changed;
 }
 
 void flow_router::index_services() {
--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -243,6 +243,67 @@
       (router.route(time_at(milliseconds(6'600)), opening_packet(1)).action == action::forward));
 }
 
+/// Returns a router in zone a with 4 upstreams in zone a and 20 in zone b, all in use.
+flow_router two_zone_router() {
+  auto out = serving_router(4);
+  std::vector<upstream_report> reports;
+  for (int n = 0; n < 20; ++n)
+    reports.push_back(
+        report_of("i-" + std::to_string(100 + n), static_cast<std::uint16_t>(1'000 + n), "b"));
+  out.merge_update(time_at({}), update_of(reports));
+  return out;
+}
+
+bool is_in_zone_b(const flow_decision& decision) {
+  return decision.destination.port >= 1'000;
+}
+
+/// Opens a flow every 10 ms from `from_ms` to `until_ms`. Upstreams of zone b do not answer, so the
+/// callers send a copy after 200 ms; those of zone a do and are never free. Returns the number of
+/// opening packets sent to zone b.
+int open_flows_during_cut(flow_router& router, int from_ms, int until_ms) {
+  std::map<int, std::uint16_t> copies; // time of the copy to port of its caller
+  int sent = 0;
+  auto port = static_cast<std::uint16_t>(from_ms + 1);
+  for (int ms = from_ms; ms < until_ms; ms += 10, ++port) {
+    const auto now = time_at(milliseconds(ms));
+    router.tick(now);
+    const auto handle = [&](const packet_head& head) {
+      const auto decision = router.route(now, head);
+      if (!is_in_zone_b(decision)) {
+        router.route(now, flow_packet(head.source.port, decision.route_tag));
+        return;
+      }
+      ++sent;
+      if (head.acknowledged == 0) copies[ms + 200] = head.source.port;
+    };
+    handle(opening_packet(port));
+    if (const auto it = copies.find(ms); it != copies.end()) handle(opening_packet(it->second, 1));
+  }
+  return sent;
+}
+
+// Guards against callers that wait for zones which are cut off: each of the 20 upstreams of such a
+// zone would get two flows before it is avoided, and again every second.
+BOOST_AUTO_TEST_CASE(zone_that_is_cut_off_is_avoided_after_few_flows) {
+  auto router = two_zone_router();
+  BOOST_TEST(open_flows_during_cut(router, 0, 1'000) <= 30);
+  BOOST_TEST(open_flows_during_cut(router, 1'000, 2'500) <= 6);
+}
+
+// Guards against a zone that is avoided although it is reachable again.
+BOOST_AUTO_TEST_CASE(report_ends_the_suspicion_of_a_zone) {
+  auto router = two_zone_router();
+  open_flows_during_cut(router, 0, 1'000);
+  auto report = report_of("i-100", 1'000, "b");
+  report.sequence = 2;
+  router.merge_update(time_at(milliseconds(1'500)), update_of({report}));
+  bool is_used = false;
+  for (std::uint16_t port = 5'000; port < 5'100; ++port)
+    is_used |= is_in_zone_b(router.route(time_at(milliseconds(1'500)), opening_packet(port)));
+  BOOST_TEST(is_used);
+}
+
 // Guards against the forwarding of packets that only upstreams send.
 BOOST_AUTO_TEST_CASE(answer_to_an_opening_packet_is_not_forwarded) {
   auto router = serving_router(1);
