flow: the cost of placing a flow does not grow with the upstreams of its service

Change: at most 32 upstreams of the zone are compared, from a random position on, and as many of the other zones when none of these is free; the number of an incarnation is computed once. Ruled out: an order by load kept up to date (warm-up and suspicion change with time alone). Tests: flow_router_test; flows_are_distributed_evenly is unchanged.

--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -113,10 +113,20 @@
   /// Decides on a packet of an open flow.
   flow_decision route_open_flow(time_point now, const packet_head& head);
   flow_decision forward(const upstream_directory::entry& to, flow_decision::reason_type why) const;
+  /// The ready upstreams of a service, by incarnation.
+  struct ready_upstreams {
+    std::vector<std::uint64_t> local; ///< in the zone of this host
+    std::vector<std::uint64_t> remote;
+  };
+
   /// Returns the upstream for a new flow; null when none is ready. The excluded upstream is
   /// chosen only if it is the only one.
   const upstream_directory::entry* select_upstream(time_point now, const std::string& service,
                                                    std::uint64_t excluded);
+  /// Adds upstreams of the list, at most max_compared of them from a random position on.
+  void add_candidates(time_point now, const std::vector<std::uint64_t>& list,
+                      std::uint64_t excluded, std::vector<upstream_candidate>& out);
+  upstream_candidate candidate_of(time_point now, const upstream_directory::entry& upstream) const;
   bool is_suspect(time_point now, const upstream_directory::entry& upstream) const;
   void record_answer(time_point now, const upstream_directory::entry& upstream);
   void record_timeout(time_point now, std::uint64_t upstream);
@@ -131,7 +141,7 @@
   flow_table flows_;
   std::unordered_map<std::uint64_t, health_observation> health_observations_;
   zone_health zone_health_;
-  std::map<std::string, std::vector<std::uint64_t>> ready_upstreams_; ///< incarnations by service
+  std::map<std::string, ready_upstreams> ready_upstreams_; ///< by service
   bool is_confirmed_ = false; ///< whether a quorum confirmed the declaration in force
   std::optional<time_point> last_update_;
   std::optional<time_point> resumed_; ///< end of a suspension; unset after an update since then
--- a/include/zinniarelay/flow/upstream_choice.h
+++ b/include/zinniarelay/flow/upstream_choice.h
@@ -29,6 +29,10 @@
   friend bool operator==(const choice_settings&, const choice_settings&) = default;
 };
 
+/// Returns true when the upstream starts a new flow at once and at full speed. Another zone's
+/// upstream has no lower cost.
+bool is_free(const upstream_candidate& candidate);
+
 /// Returns the upstream with the lowest expected completion time of a new flow. A suspect
 /// upstream is chosen only when all are suspect. Returns no value without candidates.
 std::optional<std::uint64_t> choose_upstream(const std::vector<upstream_candidate>& candidates,
--- a/include/zinniarelay/flow/upstream_directory.h
+++ b/include/zinniarelay/flow/upstream_directory.h
@@ -26,6 +26,7 @@
 
   struct entry {
     upstream_report report;
+    std::uint64_t incarnation = 0; ///< of the report, which computes it from its text
     std::uint32_t route_tag = 0;
     time_point last_report; ///< when its latest report arrived here
     time_point warmup_end;  ///< when its warm-up ends
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds expiry_period{100};
 // A single timeout may be a lost packet, so it does not make an upstream suspect.
 constexpr std::uint32_t suspect_after_timeouts = 2;
+// Upstreams of this host's zone, and of the other zones, that are compared for a new flow.
+constexpr std::size_t max_compared = 32;
 
 /// Returns a decision that forwards nothing.
 flow_decision decision_of(action action, reason reason) {
@@ -89,7 +91,7 @@
   const auto& service = route->service_of(std::hash<flow_key>{}(key));
   const auto* chosen = select_upstream(now, service, excluded);
   if (chosen == nullptr) return decision_of(action::reset, reason::no_upstream);
-  auto& flow = flows_.open(now, key, chosen->report.incarnation());
+  auto& flow = flows_.open(now, key, chosen->incarnation);
   flow.opening_copies = head.acknowledged;
   return forward(*chosen, why);
 }
@@ -104,7 +106,7 @@
     const auto* existing = head.route_tag == 0 ? flows_.find(key) : nullptr;
     to = existing == nullptr ? nullptr : upstreams_.find(existing->upstream);
   } else {
-    auto& flow = flows_.record_packet(now, key, to->report.incarnation());
+    auto& flow = flows_.record_packet(now, key, to->incarnation);
     if (!flow.is_answered) {
       flow.is_answered = true;
       answered_after = std::chrono::duration_cast<milliseconds>(now - flow.opened);
@@ -123,32 +125,51 @@
   return {action::forward, why, to.report.address, &to.report.id, to.route_tag, std::nullopt};
 }
 
+// Compares a bounded number of upstreams, because a service may have thousands. Most of them have
+// no flow of this host, so that the best of some is as good as the best of all.
 const upstream_directory::entry*
 flow_router::select_upstream(time_point now, const std::string& service, std::uint64_t excluded) {
   const auto listed = ready_upstreams_.find(service);
   if (listed == ready_upstreams_.end()) return nullptr;
+  const auto& [local, remote] = listed->second;
+  if (local.size() + remote.size() == 1) excluded = 0;
   std::vector<upstream_candidate> candidates;
-  candidates.reserve(listed->second.size());
-  for (const auto incarnation : listed->second) {
-    const auto* upstream = upstreams_.find(incarnation);
-    if (upstream == nullptr || (incarnation == excluded && listed->second.size() > 1)) continue;
-    upstream_candidate candidate;
-    candidate.incarnation = incarnation;
-    candidate.slots = upstream->report.slots;
-    candidate.is_local_zone = upstream->report.zone == settings_.zone;
-    candidate.open_flows = flows_.open_flows(incarnation);
-    candidate.is_warming = now < upstream->warmup_end;
-    candidate.is_suspect = is_suspect(now, *upstream);
-    candidates.push_back(candidate);
-  }
+  add_candidates(now, local, excluded, candidates);
+  if (std::none_of(candidates.begin(), candidates.end(), is_free))
+    add_candidates(now, remote, excluded, candidates);
   const auto chosen = choose_upstream(candidates, settings_.choice, engine_);
   return chosen ? upstreams_.find(*chosen) : nullptr;
 }
 
+void flow_router::add_candidates(time_point now, const std::vector<std::uint64_t>& list,
+                                 std::uint64_t excluded, std::vector<upstream_candidate>& out) {
+  if (list.empty()) return;
+  std::size_t position = 0;
+  if (list.size() > max_compared)
+    position = std::uniform_int_distribution<std::size_t>(0, list.size() - 1)(engine_);
+  for (std::size_t n = 0; n < std::min(list.size(), max_compared); ++n) {
+    const auto* upstream = upstreams_.find(list[(position + n) % list.size()]);
+    if (upstream != nullptr && upstream->incarnation != excluded)
+      out.push_back(candidate_of(now, *upstream));
+  }
+}
+
+upstream_candidate flow_router::candidate_of(time_point now,
+                                             const upstream_directory::entry& upstream) const {
+  upstream_candidate out;
+  out.incarnation = upstream.incarnation;
+  out.slots = upstream.report.slots;
+  out.is_local_zone = upstream.report.zone == settings_.zone;
+  out.open_flows = flows_.open_flows(out.incarnation);
+  out.is_warming = now < upstream.warmup_end;
+  out.is_suspect = is_suspect(now, upstream);
+  return out;
+}
+
 bool flow_router::is_suspect(time_point now, const upstream_directory::entry& upstream) const {
   if (upstream.report.zone != settings_.zone && zone_health_.is_suspect(now, upstream.report.zone))
     return true;
-  const auto it = health_observations_.find(upstream.report.incarnation());
+  const auto it = health_observations_.find(upstream.incarnation);
   const bool has_observation = it != health_observations_.end();
   const auto last_answer = has_observation ? it->second.last_answer : time_point{};
   // Reports arrive only with updates from control hosts. While there are no updates, a missing
@@ -162,7 +183,7 @@
 
 void flow_router::record_answer(time_point now, const upstream_directory::entry& upstream) {
   zone_health_.record_contact(upstream.report.zone);
-  auto& observation = health_observations_[upstream.report.incarnation()];
+  auto& observation = health_observations_[upstream.incarnation];
   observation.last_answer = now;
   observation.timeouts = 0;
 }
@@ -202,8 +223,10 @@
 void flow_router::index_services() {
   ready_upstreams_.clear();
   upstreams_.for_each([this](const auto& it) {
-    if (it.report.condition == upstream_report::state::ready)
-      ready_upstreams_[it.report.service].push_back(it.report.incarnation());
+    if (it.report.condition != upstream_report::state::ready) return;
+    auto& listed = ready_upstreams_[it.report.service];
+    auto& list = it.report.zone == settings_.zone ? listed.local : listed.remote;
+    list.push_back(it.incarnation);
   });
 }
 
--- a/libraries/flow/upstream_choice.cpp
+++ b/libraries/flow/upstream_choice.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+bool is_free(const upstream_candidate& candidate) {
+  return candidate.is_local_zone && !candidate.is_warming && !candidate.is_suspect &&
+         candidate.open_flows < std::max(candidate.slots, 1U);
+}
+
 std::optional<std::uint64_t> choose_upstream(const std::vector<upstream_candidate>& candidates,
                                              const choice_settings& settings,
                                              random_engine& engine) {
--- a/libraries/flow/upstream_directory.cpp
+++ b/libraries/flow/upstream_directory.cpp
@@ -30,7 +30,7 @@
   existing.is_direct = from == origin::upstream;
   if (is_changed) existing.content_position = content_position_ = position_;
   if (is_moved) {
-    by_address_[existing.report.address] = existing.report.incarnation();
+    by_address_[existing.report.address] = existing.incarnation;
     by_tag_.erase(existing.route_tag);
     existing.route_tag = existing.report.route_tag();
     index_tag(existing);
@@ -68,6 +68,7 @@
   const auto key = report.incarnation();
   entry added;
   added.report = report;
+  added.incarnation = key;
   added.route_tag = report.route_tag();
   added.last_report = added.last_state_change = now;
   added.warmup_end = now + report.warmup;
@@ -108,7 +109,7 @@
 }
 
 void upstream_directory::index_tag(const entry& added) {
-  const auto key = added.report.incarnation();
+  const auto key = added.incarnation;
   const auto [existing, is_new] = by_tag_.try_emplace(added.route_tag, key);
   if (!is_new) existing->second = std::min(existing->second, key);
 }
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -280,7 +280,7 @@
   line.with("upstream", *decision.upstream_id).with("address", decision.destination);
   if (upstream == nullptr) return;
   const auto age = std::chrono::duration_cast<milliseconds>(now - upstream->last_report);
-  line.with("open_flows", router_.flows().open_flows(upstream->report.incarnation()))
+  line.with("open_flows", router_.flows().open_flows(upstream->incarnation))
       .with("report_age_ms", age.count());
 }
 
--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -206,6 +206,20 @@
     BOOST_TEST(n == 100, "upstream " << address.to_string() << " has " << n);
 }
 
+// Guards against uneven load on the upstreams of a large service, of which only some are compared
+// for each flow, and against flows to other zones while upstreams of this zone are free.
+BOOST_AUTO_TEST_CASE(flows_are_distributed_over_all_upstreams_of_a_large_service) {
+  auto router = serving_router(300);
+  router.merge_update(time_at({}), update_of({report_of("i-301", 9'000, "b")}));
+  std::map<endpoint, int> opened;
+  for (int n = 0; n < 900; ++n)
+    ++opened[router.route(time_at({}), opening_packet(static_cast<std::uint16_t>(n + 1)))
+                 .destination];
+  BOOST_TEST(opened.size() == 300U);
+  for (const auto& [address, n] : opened)
+    BOOST_TEST(n <= 5, "upstream " << address.to_string() << " has " << n);
+}
+
 // Guards against all upstreams becoming suspect because the updates from control hosts have
 // stopped.
 BOOST_AUTO_TEST_CASE(upstreams_are_used_without_updates) {
