--- a/services/controld/flow_control_service.h
+++ b/services/controld/flow_control_service.h
@@ -75,6 +75,10 @@
 private:
   using stub = wire::flow_control::Stub;
 
+  // Operators and upstreams retry at another control host after 1 s. A host replies to each
+  // request before that.
+  static constexpr milliseconds reply_timeout{850};
+
   std::shared_ptr<stub> stub_of(const std::string& address);
   void remove_stub(const std::string& address);
   wire::version_reply apply_locally(const wire::version_request& request);
--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -259,9 +259,11 @@
 
 /// Returns a router in zone a with 4 upstreams in zone a and 20 in zone b, all in use.
 flow_router two_zone_router() {
+  constexpr int remote_upstreams = 20;
   auto out = serving_router(4);
   std::vector<upstream_report> reports;
-  for (int n = 0; n < 20; ++n)
+  reports.reserve(remote_upstreams);
+  for (int n = 0; n < remote_upstreams; ++n)
     reports.push_back(
         report_of("i-" + std::to_string(100 + n), static_cast<std::uint16_t>(1'000 + n), "b"));
   out.merge_update(time_at({}), update_of(reports));
