controld, flowd: complete replies are compressed once for all entry hosts

About 140 KB for each reply, from up to six control hosts, over 2 Mbit/s. Ruled out: the time until control hosts are found (0.1 s after their start); elections (they failed for want of processor time, and followed once the replies were sent). Change: declarations and lists of upstreams for hosts that have none are compressed once, and later changes are sent beside the list, which is renewed after 10 s at the latest, because a directory forgets an upstream 90 s after its end. deflated() and inflated() moved to core, with a bound on the size of the content. Tests: compact_replies_test.

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -8,6 +8,7 @@
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/result.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/compact_replies.h"
 #include "zinniarelay/flow/declaration_history.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
@@ -236,6 +237,7 @@
   time_point started_;
   upstream_directory upstreams_;
   start_notices notices_;
+  compact_replies compact_replies_;
 };
 
 } // namespace zinnia
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -1,12 +1,8 @@
 #include "control/milliseconds_field.h"
 #include "zinniarelay/control/control_host.h"
-
-#include <Poco/DeflatingStream.h>
-#include <Poco/InflatingStream.h>
-#include <Poco/StreamCopier.h>
+#include "zinniarelay/core/compression.h"
 
 #include <algorithm>
-#include <sstream>
 #include <xxhash.h>
 
 namespace zinnia {
@@ -24,28 +20,6 @@
 // hosts have removed their record that it is gone.
 constexpr milliseconds max_report_age{20'000};
 
-std::string compressed(const std::string& content) {
-  std::ostringstream out;
-  Poco::DeflatingOutputStream deflate(out, Poco::DeflatingStreamBuf::STREAM_ZLIB);
-  deflate << content;
-  deflate.close();
-  return out.str();
-}
-
-result<std::string> decompressed(const std::string& content) {
-  try {
-    std::istringstream in(content);
-    Poco::InflatingInputStream inflate(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
-    // Without exceptions, the stream would end at a decompression error as at its regular end.
-    inflate.exceptions(std::ios::badbit);
-    std::string out;
-    Poco::StreamCopier::copyToString(inflate, out);
-    return out;
-  } catch (const std::exception& ex) {
-    return failure(error_kind::corrupted, "declaration of packet flows", ex.what());
-  }
-}
-
 std::string digest_text(const std::string& content) {
   return std::to_string(XXH64(content.data(), content.size(), 0));
 }
@@ -75,7 +49,7 @@
   command.set_author(request.author());
   command.set_time_ms(wall_ms);
   command.mutable_version()->set_version(version);
-  command.mutable_version()->set_content(compressed(content));
+  command.mutable_version()->set_content(deflated(content));
   const auto effects = step(now, raft_proposal{command.SerializeAsString()});
   if (effects.proposed_index)
     out.pending = {*effects.proposed_index, node_.term(), false};
@@ -105,7 +79,7 @@
 void control_host::decode_flows() {
   if (state_.flows().version() == flows_.declaration().version()) return;
   wire::versioned_declaration next;
-  const auto content = decompressed(state_.flows().content());
+  const auto content = inflated(state_.flows().content());
   if (content.has_value() && next.ParseFromString(content.value())) {
     flows_ = std::move(next);
     history_.record(flows_.declaration());
@@ -249,7 +223,10 @@
   out.set_source(source_);
   out.set_position(upstreams_.position());
   const auto position = request.source() == source_ ? request.position() : 0;
-  *out.mutable_upstreams() = upstreams_.updates_since(position);
+  if (position == 0 && request.accepts_changes())
+    compact_replies_.add_upstreams(now, upstreams_, out);
+  else
+    *out.mutable_upstreams() = upstreams_.updates_since(position);
   add_declaration(request, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
@@ -265,6 +242,8 @@
       request.accepts_changes() ? history_.change_since(request.version()) : nullptr;
   if (change != nullptr && change->version() == committed.version())
     *reply.mutable_change() = *change;
+  else if (request.accepts_changes())
+    compact_replies_.add_declaration(committed, reply);
   else
     *reply.mutable_declaration() = committed;
 }
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -1,6 +1,7 @@
 #include "update_client.h"
 
 #include "shared/control_channel.h"
+#include "zinniarelay/flow/compact_replies.h"
 #include "zinniarelay/observe/log_line.h"
 
 #include <algorithm>
@@ -128,7 +129,11 @@
 }
 
 bool update_client::finish_attempt(attempt& ended) {
-  if (ended.status.ok()) return accept(ended);
+  if (ended.status.ok()) {
+    const auto is_intact = expand(ended.reply);
+    if (is_intact.has_value()) return accept(ended);
+    log_warning("update_refused").with("control_host", ended.address).with(is_intact.error());
+  }
   stubs_.erase(ended.address);
   record_failure(ended.address);
   return false;
