--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 
-
 namespace zinnia::controld {
 namespace {
 
