--- a/tests/libraries/entry/entry_host_test.cpp
+++ b/tests/libraries/entry/entry_host_test.cpp
@@ -1,3 +1,4 @@
+#include "support/message_mutator.h"
 #include "temporary_folder.h"
 #include "zinniarelay/config/configuration_difference.h"
 #include "zinniarelay/config/declaration.h"
@@ -232,4 +233,35 @@
   BOOST_TEST(metric("packets_malformed") + metric("packets_refused") > 0.0);
 }
 
+// Guards against a process that ends because the fields of a message from another entry host, a
+// caller or an upstream contradict each other.
+BOOST_AUTO_TEST_CASE(mutated_messages_end_no_entry_host) {
+  constexpr int messages = 20'000;
+  constexpr int mutations_per_message = 40;
+  random_engine engine(8);
+  support::message_mutator mutator(engine);
+  wire::peer_packet peer;
+  wire::caller_packet caller;
+  wire::announcement announcement;
+  std::size_t effects = 0;
+  for (int n = 0; n < messages; ++n) {
+    if (n % mutations_per_message == 0) {
+      peer.Clear();
+      caller = certify(open("registry").opened().token());
+      announcement.Clear();
+      announcement.set_service("registry");
+      announcement.set_credential(credential);
+    }
+    mutator.mutate(peer);
+    mutator.mutate(caller);
+    mutator.mutate(announcement);
+    effects += host.step(now, peer_datagram{fabric, peer.SerializeAsString()}).size();
+    effects += receive(caller).size();
+    effects +=
+        host.step(now, announcement_received{static_cast<std::uint64_t>(n), announcement}).size();
+    if (n % 10 == 0) tick();
+  }
+  BOOST_TEST(effects > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
