--- a/utilities/zinniactl/status_commands.cpp
+++ b/utilities/zinniactl/status_commands.cpp
@@ -1,15 +1,20 @@
 #include "command_context.h"
+#include "host_selection.h"
 #include "text_table.h"
 #include "zinniarelay/operate/merge_reports.h"
 
 #include <algorithm>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace zinnia {
 namespace {
 
+// With more hosts, a status lists only those that differ from the others.
+constexpr int max_hosts_listed = 24;
+
 std::optional<wire::status_overview> read_status(const command_context& context) {
   grpc_transport transport(std::chrono::seconds(context.timeout_s));
   const auto collected = query_all<wire::status_reply>(
@@ -33,18 +38,23 @@
   std::cout << table << '\n';
 }
 
-void print_hosts(const wire::status_overview& status) {
-  text_table table({"ZONE", "HOST", "STATE", "REVISION", "REPORTED", "PENDING", "RECORDS",
-                    "UPSTREAMS", "REGISTRATION"});
-  std::vector<wire::host_status> hosts(status.hosts().begin(), status.hosts().end());
-  std::stable_sort(hosts.begin(), hosts.end(),
-                   [](const auto& a, const auto& b) { return a.zone() < b.zone(); });
-  for (const auto& it : hosts)
-    table.add({to_text(it.zone()), to_text(it.host()), it.state(), to_text(it.revision()),
-               age_text(it.age_ms()) + " ago", to_text(it.pending_requests()),
-               to_text(it.open_records()), to_text(static_cast<std::uint64_t>(it.upstreams_size())),
-               it.registration_address()});
-  std::cout << table << '\n';
+void print_hosts(const wire::status_overview& status, host_selection selection) {
+  const auto hosts = listed_hosts(status, selection);
+  const auto others = static_cast<std::size_t>(status.hosts_size()) - hosts.size();
+  if (!hosts.empty()) {
+    text_table table({"ZONE", "HOST", "STATE", "REVISION", "REPORTED", "PENDING", "RECORDS",
+                      "UPSTREAMS", "REGISTRATION"});
+    for (const auto& it : hosts)
+      table.add({to_text(it.zone()), to_text(it.host()), it.state(), to_text(it.revision()),
+                 age_text(it.age_ms()) + " ago", to_text(it.pending_requests()),
+                 to_text(it.open_records()),
+                 to_text(static_cast<std::uint64_t>(it.upstreams_size())),
+                 it.registration_address()});
+    std::cout << table;
+  }
+  if (others > 0)
+    std::cout << others << " hosts serve the highest revision; --all-hosts lists them\n";
+  std::cout << '\n';
 }
 
 /// Prints one line for each zone. The lowest revision of its hosts is the one that is in force in
@@ -82,7 +92,7 @@
                 << it.target() << '\n';
 }
 
-exit_code status(const command_context& context) {
+exit_code status(const command_context& context, bool lists_all_hosts) {
   const auto overview = read_status(context);
   if (!overview) return exit_code::unreachable;
   if (context.wants_json) {
@@ -91,7 +101,9 @@
   }
   print_controls(*overview);
   print_zones(*overview);
-  print_hosts(*overview);
+  const bool is_large = overview->hosts_size() > max_hosts_listed;
+  print_hosts(*overview,
+              is_large && !lists_all_hosts ? host_selection::differing : host_selection::all);
   print_services(overview->configuration());
   return exit_code::done;
 }
@@ -120,8 +132,15 @@
 } // namespace
 
 void add_status_commands(CLI::App& app, command_context& context) {
-  app.add_subcommand("status", "Show control hosts, zones, entry hosts, services and drains")
-      ->callback([&context] { context.action = [&context] { return status(context); }; });
+  auto* command =
+      app.add_subcommand("status", "Show control hosts, zones, entry hosts, services and drains");
+  const auto lists_all_hosts = std::make_shared<bool>(false);
+  command->add_flag("--all-hosts", *lists_all_hosts,
+                    "list every entry host; without it, a deployment of more than " +
+                        std::to_string(max_hosts_listed) + " lists only those that differ");
+  command->callback([&context, lists_all_hosts] {
+    context.action = [&context, lists_all_hosts] { return status(context, *lists_all_hosts); };
+  });
   app.add_subcommand("upstreams", "Show every announced upstream with its slots")
       ->callback([&context] { context.action = [&context] { return upstreams(context); }; });
 }
