--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -85,7 +85,7 @@
   /// Makes the search ask the control hosts that have started, in place of requests that were sent
   /// before the start.
   void ask_started(control_host_search& schedule);
-  /// Records the end of an unsuccessful request.
+  /// Records the end of a request, after which its host is asked again when the search goes on.
   void record_end(control_host_search& schedule, const attempt& ended);
   void cancel_attempts();
   /// Handles the end of a request. Returns true when its host has a quorum.
