--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -196,6 +196,40 @@
   BOOST_TEST(router.flows().open_flows(report_of("i-2", 82).incarnation()) == 0U);
 }
 
+// Guards against a long flow that loses its upstream, or no longer counts as load, after a pause
+// between two requests, and against one that moves because its upstream drains in the pause.
+BOOST_AUTO_TEST_CASE(long_flow_keeps_its_upstream_over_pauses) {
+  auto router = serving_router(3);
+  const auto opened = router.route(time_at({}), opening_packet(1));
+  const auto upstream = report_of(*opened.upstream_id, opened.destination.port).incarnation();
+  router.route(time_at({}), flow_packet(1, opened.route_tag));
+  for (int pause = 1; pause <= 5; ++pause) {
+    const auto now = time_at(milliseconds(pause * 9'000));
+    router.tick(now);
+    BOOST_TEST(router.flows().open_flows(upstream) == 0U);
+    const auto routed = router.route(now, flow_packet(1, opened.route_tag));
+    BOOST_TEST((routed.destination == opened.destination));
+    BOOST_TEST(router.flows().open_flows(upstream) == 1U);
+    auto draining = report_of(*opened.upstream_id, opened.destination.port);
+    draining.sequence = 10;
+    draining.condition = upstream_report::state::draining;
+    if (pause == 3) router.merge_update(now, update_of({draining}));
+  }
+}
+
+// Guards against a request of one second that is lost because the entry host of its flow has been
+// replaced by one that started just now: the packet waits for the first update.
+BOOST_AUTO_TEST_CASE(packet_of_long_flow_waits_for_the_start_of_its_host) {
+  auto before = serving_router(3);
+  const auto opened = before.route(time_at({}), opening_packet(1));
+  auto started = router_of(7);
+  BOOST_TEST((started.route(time_at({}), flow_packet(1, opened.route_tag)).action == action::hold));
+  started.merge_update(
+      time_at({}), update_of({report_of("i-1", 81), report_of("i-2", 82), report_of("i-3", 83)}));
+  BOOST_TEST((started.route(time_at({}), flow_packet(1, opened.route_tag)).destination ==
+              opened.destination));
+}
+
 // Guards against uneven load on equal upstreams.
 BOOST_AUTO_TEST_CASE(flows_are_distributed_evenly) {
   auto router = serving_router(4);
