controld, http: trial: reports of ready upstreams on the connection thread

What grows is the traffic: 65, 321 and 1,306 KB a second for each control host, of which refreshes of upstreams to each entry host are the largest part.

--- a/include/zinniarelay/http/http_server.h
+++ b/include/zinniarelay/http/http_server.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace zinnia {
@@ -19,6 +20,9 @@
 class http_server {
 public:
   using handler = std::function<http_response(const http_request&)>;
+  /// Responds without blocking, on the thread that serves the connections. Returns no value for
+  /// requests that are left to the handler.
+  using immediate_handler = std::function<std::optional<http_response>(const http_request&)>;
 
   /// Fails with error_kind::io when the address cannot be bound. Counts connections and their ends
   /// as `http_connections` in `metrics`, which must outlive the server; `name` is the label
@@ -26,7 +30,8 @@
   static result<std::unique_ptr<http_server>> create(const endpoint& address, handler handle,
                                                      const http_server_limits& limits,
                                                      metric_registry& metrics,
-                                                     const std::string& name);
+                                                     const std::string& name,
+                                                     immediate_handler immediate = {});
 
   /// Accepts no more connections, and waits for the requests on those already accepted, at most
   /// for the stop timeout.
