--- a/include/zinniarelay/flow/compact_replies.h
+++ b/include/zinniarelay/flow/compact_replies.h
@@ -28,7 +28,7 @@
     time_point built;
   };
 
-  bool is_usable(time_point now, std::size_t later_changes, std::size_t upstreams) const;
+  bool is_usable(time_point now, std::size_t later_changes) const;
 
   compressed_upstreams upstreams_;
   std::uint64_t declaration_version_ = 0; ///< 0: none
--- a/include/zinniarelay/http/http_server.h
+++ b/include/zinniarelay/http/http_server.h
@@ -8,7 +8,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace zinnia {
@@ -20,9 +19,6 @@
 class http_server {
 public:
   using handler = std::function<http_response(const http_request&)>;
-  /// Responds without blocking, on the thread that serves the connections. Returns no value for
-  /// requests that are left to the handler.
-  using immediate_handler = std::function<std::optional<http_response>(const http_request&)>;
 
   /// Fails with error_kind::io when the address cannot be bound. Counts connections and their ends
   /// as `http_connections` in `metrics`, which must outlive the server; `name` is the label
@@ -30,8 +26,7 @@
   static result<std::unique_ptr<http_server>> create(const endpoint& address, handler handle,
                                                      const http_server_limits& limits,
                                                      metric_registry& metrics,
-                                                     const std::string& name,
-                                                     immediate_handler immediate = {});
+                                                     const std::string& name);
 
   /// Accepts no more connections, and waits for the requests on those already accepted, at most
   /// for the stop timeout.
--- a/libraries/flow/compact_replies.cpp
+++ b/libraries/flow/compact_replies.cpp
@@ -11,9 +11,9 @@
 // Later changes are sent beside the compressed upstreams. With more of them, and at the latest
 // after this time, they are compressed again: a directory forgets an upstream 90 s after its end,
 // and an older list would add it again.
-constexpr std::size_t max_later_share = 2; // a half of the list
+constexpr std::size_t max_later_changes = 64;
 constexpr milliseconds max_age{10'000};
-constexpr milliseconds min_age{1'000};
+constexpr milliseconds min_age{250};
 
 template <class Message>
 result<Message> expanded(const std::string& content) {
@@ -26,11 +26,10 @@
 
 } // namespace
 
-bool compact_replies::is_usable(time_point now, std::size_t later_changes,
-                                std::size_t upstreams) const {
+bool compact_replies::is_usable(time_point now, std::size_t later_changes) const {
   const auto age = now - upstreams_.built;
   if (upstreams_.position == 0 || age >= max_age) return false;
-  return age < min_age || later_changes * max_later_share <= upstreams;
+  return age < min_age || later_changes <= max_later_changes;
 }
 
 void compact_replies::add_upstreams(time_point now, const upstream_directory& upstreams,
@@ -40,7 +39,7 @@
     return;
   }
   auto later = upstreams.updates_since(upstreams_.position);
-  if (!is_usable(now, static_cast<std::size_t>(later.reports_size()), upstreams.size())) {
+  if (!is_usable(now, static_cast<std::size_t>(later.reports_size()))) {
     upstreams_ = {deflated(upstreams.updates_since(0).SerializeAsString()), upstreams.position(),
                   now};
     later.Clear();
--- a/libraries/http/http_server.cpp
+++ b/libraries/http/http_server.cpp
@@ -26,10 +26,9 @@
 class beast_http_server final : public http_server, public http_connection::owner {
 public:
   beast_http_server(handler handle, const http_server_limits& limits, metric_registry& metrics,
-                    const std::string& name, immediate_handler immediate)
-      : limits_(limits), handle_(std::move(handle)), immediate_(std::move(immediate)),
-        acceptor_(io_), accept_timer_(io_), stop_timer_(io_),
-        connection_limiter_(limits.connections) {
+                    const std::string& name)
+      : limits_(limits), handle_(std::move(handle)), acceptor_(io_), accept_timer_(io_),
+        stop_timer_(io_), connection_limiter_(limits.connections) {
     for (std::size_t n = 0; n < connection_end_count; ++n) {
       const auto labels = "server=" + name + ",end=" + name_of(static_cast<connection_end>(n));
       ends_.at(n) = &metrics.counter_of("http_connections", labels);
@@ -148,10 +147,6 @@
       connection->respond(answer(request));
       return true;
     }
-    if (const auto response = immediate_answer(request)) {
-      connection->respond(*response);
-      return true;
-    }
     const auto max_handled = limits_.handler_threads + limits_.waiting_requests;
     if (handled_ >= max_handled) return false;
     ++handled_;
@@ -167,16 +162,6 @@
     return true;
   }
 
-  std::optional<http_response> immediate_answer(const http_request& request) const {
-    if (!immediate_) return std::nullopt;
-    try {
-      return immediate_(request);
-    } catch (const std::exception& ex) {
-      log_warning("http_request_failed").with("path", request.path).with("cause", ex.what());
-      return http_response{500, "text/plain", "internal error"};
-    }
-  }
-
   http_response answer(const http_request& request) const {
     try {
       return handle_(request);
@@ -199,7 +184,6 @@
 
   http_server_limits limits_;
   handler handle_;
-  immediate_handler immediate_;
   endpoint address_;
   asio::io_context io_{1};
   tcp::acceptor acceptor_;
@@ -220,10 +204,8 @@
 result<std::unique_ptr<http_server>> http_server::create(const endpoint& address, handler handle,
                                                          const http_server_limits& limits,
                                                          metric_registry& metrics,
-                                                         const std::string& name,
-                                                         immediate_handler immediate) {
-  auto out = std::make_unique<beast_http_server>(std::move(handle), limits, metrics, name,
-                                                 std::move(immediate));
+                                                         const std::string& name) {
+  auto out = std::make_unique<beast_http_server>(std::move(handle), limits, metrics, name);
   ZINNIA_TRY(out->listen(address));
   return std::unique_ptr<http_server>(std::move(out));
 }
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -78,11 +78,8 @@
     const auto handle = [&server](const http_request& request) {
       return platform::operator_api(server.flows()).handle(request);
     };
-    const auto immediate = [&server](const http_request& request) {
-      return platform::operator_api(server.flows()).handle_immediately(request);
-    };
     ZINNIA_TRY(operators, http_server::create(*settings.operator_address(), handle, {},
-                                              server.flow_metrics(), "operators", immediate));
+                                              server.flow_metrics(), "operators"));
     out.operators = std::move(operators);
   }
   if (settings.metrics_address()) {
