--- a/libraries/flow/held_packets.cpp
+++ b/libraries/flow/held_packets.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // A caller gives up its attempt 800 ms after the last copy of its opening packet. An upstream that
-// gets the packet later would reserve a flow for nobody.
+// gets the packet later would reserve a flow whose caller no longer waits.
 constexpr milliseconds max_wait{800};
 
 } // namespace
