--- a/review/common.sh
+++ b/review/common.sh
@@ -5,7 +5,6 @@
 case_folder=$PWD
 root=$(cd "$case_folder/../.." && pwd)
 record=$case_folder/record.txt
-trouble=${TROUBLE:-1}
 work=$(mktemp -d "${TMPDIR:-/tmp}/zinnia-review.XXXXXX")
 ip=127.$((10 + BASHPID / 62500 % 200)).$((BASHPID / 250 % 250))
 started_at=$EPOCHREALTIME
