flow: facade of the entry role, and the selection of upstreams in a class of its own

Ruled out: references from the selector to the directory and the flow table; the router could then not be returned by value.

Change: flow_host takes events (packets, updates, suspensions, stop) and returns decisions, as entry_host and control_host do; flow_daemon carries them out. upstream_selector holds the index of services and the observations of health.

--- a/benchmarks/flow_placing.cpp
+++ b/benchmarks/flow_placing.cpp
@@ -58,7 +58,7 @@
 // Returns the shortest of the runs, because other programs can only lengthen a run.
 double microseconds_per_flow(int upstreams) {
   flow_router_settings settings;
-  settings.zone = "zone-0";
+  settings.selection.zone = "zone-0";
   flow_router router(settings, random_engine(1));
   router.apply(declaration());
   router.confirm();
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -6,30 +6,21 @@
 #include "zinniarelay/flow/flow_table.h"
 #include "zinniarelay/flow/packet_head.h"
 #include "zinniarelay/flow/route_table.h"
-#include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
-#include "zinniarelay/flow/zone_health.h"
+#include "zinniarelay/flow/upstream_selector.h"
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace zinnia {
 
 struct flow_router_settings {
-  std::string zone;
-  /// An upstream is suspect when no report of it arrived for this long.
-  milliseconds report_timeout{4'000};
-  /// An upstream that did not answer opening packets is suspect for this long.
-  milliseconds suspect_period{1'000};
+  upstream_selector_settings selection;
   /// After a suspension of the process, opening packets are dropped until an update that was
   /// requested since then has arrived, at most for this long.
   milliseconds outdated_view_timeout{1'500};
-  choice_settings choice;
 };
 
 /// The decision on one packet.
@@ -73,7 +64,7 @@
 class flow_router {
 public:
   flow_router(flow_router_settings settings, random_engine engine)
-      : settings_(std::move(settings)), engine_(engine) {}
+      : settings_(std::move(settings)), selector_(settings_.selection, engine) {}
 
   /// Decides on a packet that arrived from a caller, and counts the decision by its reason.
   flow_decision route(time_point now, const packet_head& head);
@@ -113,13 +104,6 @@
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
 private:
-  /// Health of one upstream, as observed from the packets of callers.
-  struct health_observation {
-    time_point last_answer;     ///< when a caller last showed that it had an answer
-    time_point last_timeout;    ///< when a caller last repeated an unanswered opening packet
-    std::uint32_t timeouts = 0; ///< unanswered opening packets since the last answer
-  };
-
   /// Decides on an opening packet.
   flow_decision open_flow(time_point now, const packet_head& head);
   static bool is_opening(time_point now, const flow_table::flow& flow);
@@ -131,40 +115,15 @@
   /// Decides on a packet of an open flow.
   flow_decision route_open_flow(time_point now, const packet_head& head);
   flow_decision forward(const upstream_directory::entry& to, flow_decision::reason_type why) const;
-  /// The ready upstreams of a service, by incarnation.
-  struct ready_upstreams {
-    std::vector<std::uint64_t> local; ///< in the zone of this host
-    std::vector<std::uint64_t> remote;
-  };
-
-  /// Returns the upstream for a new flow; null when none is ready. The excluded upstream is
-  /// chosen only if it is the only one.
-  const upstream_directory::entry* select_upstream(time_point now, const std::string& service,
-                                                   std::uint64_t excluded);
-  /// Adds upstreams of the list, at most max_compared of them from a random position on.
-  void add_candidates(time_point now, const std::vector<std::uint64_t>& list,
-                      std::uint64_t excluded, std::vector<upstream_candidate>& out);
-  upstream_candidate candidate_of(time_point now, const upstream_directory::entry& upstream) const;
-  bool is_suspect(time_point now, const upstream_directory::entry& upstream) const;
-  void record_answer(time_point now, const upstream_directory::entry& upstream);
-  void record_timeout(time_point now, std::uint64_t upstream);
-  /// Records contact with the zone of an upstream if its report arrived now.
-  void record_report(time_point now, std::uint64_t upstream);
-  void index_services();
-
   flow_router_settings settings_;
-  random_engine engine_;
   route_table routes_;
   upstream_directory upstreams_;
   flow_table flows_;
-  std::unordered_map<std::uint64_t, health_observation> health_observations_;
-  zone_health zone_health_;
-  std::map<std::string, ready_upstreams> ready_upstreams_; ///< by service
+  upstream_selector selector_;
   bool is_list_complete_ = false;
   std::uint64_t list_source_ = 0; ///< process whose list of upstreams was merged last
   bool is_last_update_complete_ = false;
   std::optional<std::uint64_t> confirmed_version_;
-  std::optional<time_point> last_update_;
   std::optional<time_point> resumed_; ///< end of a suspension; unset after an update since then
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -11,10 +11,6 @@
 constexpr milliseconds publish_interval{1'000};
 constexpr milliseconds presence_interval{6'000};
 constexpr milliseconds status_interval{5'000};
-constexpr std::uint32_t max_confirmed_quorum_age_ms = 1'500;
-// The loop runs at least every 50 ms. After a longer gap the process was suspended or stopped, and
-// its view of upstreams may be outdated.
-constexpr milliseconds min_suspension{1'000};
 // A stopping host exits this long before the end of stop_grace.
 constexpr milliseconds exit_margin{1'000};
 constexpr std::string_view metrics_path = "/metrics";
@@ -33,34 +29,13 @@
   return std::chrono::duration_cast<milliseconds>(now - since).count();
 }
 
-declaration_trust trust_of(const wire::news_reply& reply) {
-  if (reply.quorum_age_ms() <= max_confirmed_quorum_age_ms) return declaration_trust::confirmed;
-  return reply.recalled() ? declaration_trust::restored : declaration_trust::unconfirmed;
-}
-
-const char* name_of(declaration_trust value) {
-  switch (value) {
-  case declaration_trust::confirmed:
-    return "confirmed";
-  case declaration_trust::restored:
-    return "recalled";
-  case declaration_trust::unconfirmed:
-    return "unconfirmed";
-  }
-  return "unknown";
-}
-
-flow_router_settings router_settings(const flow_settings& settings) {
-  flow_router_settings out;
-  out.zone = settings.zone_name();
+flow_host_settings host_settings(const flow_settings& settings) {
+  flow_host_settings out;
+  out.router.selection.zone = settings.zone_name();
   // The timeout passes after three missing reports in a row.
-  out.report_timeout = settings.report_interval() * 3 + milliseconds(500);
-  return out;
-}
-
-readiness::settings readiness_settings(const flow_settings& settings) {
-  readiness::settings out;
-  out.grace_period = std::max(settings.stop_grace() - exit_margin, out.rotation_delay);
+  out.router.selection.report_timeout = settings.report_interval() * 3 + milliseconds(500);
+  out.rotation.grace_period =
+      std::max(settings.stop_grace() - exit_margin, out.rotation.rotation_delay);
   return out;
 }
 
@@ -68,12 +43,11 @@
 
 flow_daemon::flow_daemon(const flow_settings& settings, random_engine engine)
     : settings_(settings), engine_(engine),
-      router_(router_settings(settings), random_engine(engine_())),
-      readiness_(readiness_settings(settings), monotonic_now()),
+      host_(host_settings(settings), random_engine(engine_()), monotonic_now()),
       log_rate_limiter_(log_lines_per_second),
       answer_durations_(metrics_.distribution_of("flow_answer_wait_ms")),
-      loop_gaps_(metrics_.distribution_of("loop_gap_ms")), last_update_(monotonic_now()),
-      in_force_since_(last_update_), next_status_(last_update_ + status_interval) {}
+      loop_gaps_(metrics_.distribution_of("loop_gap_ms")), last_iteration_(monotonic_now()),
+      next_status_(last_iteration_ + status_interval) {}
 
 result<std::unique_ptr<flow_daemon>> flow_daemon::create(const flow_settings& settings,
                                                          random_engine engine) {
@@ -103,7 +77,7 @@
   }
   updates_ = std::make_unique<update_client>(
       update_client::identity{settings_.name(), settings_.availability_zone().value,
-                              router_settings(settings_).report_timeout},
+                              host_settings(settings_).router.selection.report_timeout},
       addresses_of(settings_.control_hosts()), random_engine(engine_()), metrics_);
   return success();
 }
@@ -118,6 +92,7 @@
 void flow_daemon::run(requests& requested, const std::filesystem::path& settings_file) {
   settings_watch watch(settings_file);
   last_iteration_ = monotonic_now();
+  host_.record_iteration(last_iteration_);
   while (true) {
     const auto count = socket_->receive();
     const auto now = monotonic_now();
@@ -125,18 +100,18 @@
     exchange_notices(now);
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
-    router_.tick(now);
+    host_.tick(now);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
-    if (requested.stop && !readiness_.is_stopping()) {
-      readiness_.stop(now);
+    if (requested.stop && !host_.is_stopping()) {
+      host_.stop(now);
       is_ready_ = false;
-      log_info("stopping").with("open_flows", router_.flows().size());
+      log_info("stopping").with("open_flows", host_.router().flows().size());
     }
-    if (readiness_.may_exit(now, last_packet_)) break;
+    if (host_.may_exit(now)) break;
   }
-  log_info("stopped").with("open_flows", router_.flows().size());
+  log_info("stopped").with("open_flows", host_.router().flows().size());
 }
 
 void flow_daemon::exchange_notices(time_point now) {
@@ -159,11 +134,10 @@
 void flow_daemon::detect_suspension(time_point now) {
   const auto gap = now - std::exchange(last_iteration_, now);
   loop_gaps_.record(std::chrono::duration<double, std::milli>(gap).count());
-  if (gap < min_suspension) return;
-  router_.record_suspension(now);
+  const auto suspended = host_.record_iteration(now);
+  if (!suspended) return;
   updates_->request_immediate_reply();
-  log_warning("resumed").with("suspended_ms",
-                              std::chrono::duration_cast<milliseconds>(gap).count());
+  log_warning("resumed").with("suspended_ms", suspended->count());
 }
 
 // Only the addresses of control hosts are reloaded. Addresses and names of a running host stay.
@@ -181,56 +155,29 @@
 void flow_daemon::apply_updates(time_point now) {
   const auto updates = updates_->take();
   for (const auto& [reply, requested] : updates) {
-    if (reply.from_position() == 0) router_.begin_list(reply.source());
-    router_.merge_update(now, reply.upstreams(),
-                         reply.has_more_upstreams() ? flow_router::update_extent::partial
-                                                    : flow_router::update_extent::complete);
-    if (reply.has_liveness()) router_.record_liveness(now, reply.source(), reply.liveness());
-    apply_declaration(now, reply);
-    if (trust_of(reply) == declaration_trust::confirmed)
-      router_.confirm(reply.declaration_version());
-    router_.record_update_request(requested);
-    last_update_ = now;
-    updates_->set_version(needs_complete_declaration_ ? 0 : router_.routes().version());
+    const auto applied = host_.apply(now, reply, requested);
+    if (applied.is_declaration_new) log_declaration(reply);
+    if (applied.refusal) log_warning("declaration_change_refused").with(*applied.refusal);
+    updates_->set_version(host_.requested_version());
   }
   if (!updates.empty()) release_held_packets(now);
-  readiness_.set_serving(router_.routes().version() > 0, router_.has_upstreams());
-  if (readiness_.is_ready() == is_ready_) return;
-  is_ready_ = readiness_.is_ready();
+  if (host_.is_ready() == is_ready_) return;
+  is_ready_ = host_.is_ready();
   log_info(is_ready_ ? "ready" : "not_ready")
-      .with("version", router_.routes().version())
-      .with("upstreams", router_.upstreams().size());
+      .with("version", host_.router().routes().version())
+      .with("upstreams", host_.router().upstreams().size());
 }
 
-void flow_daemon::apply_declaration(time_point now, const wire::news_reply& reply) {
-  const auto previous = router_.routes().version();
-  const auto trust = trust_of(reply);
-  if (!readiness_.is_acceptable(now, trust, previous > 0)) return;
-  if (reply.has_change())
-    apply_change(reply.change());
-  else if (reply.has_declaration() && router_.apply(reply.declaration()))
-    needs_complete_declaration_ = false;
-  if (router_.routes().version() == previous) return;
-  in_force_since_ = now;
+void flow_daemon::log_declaration(const wire::news_reply& reply) {
   log_info("declaration_in_force")
-      .with("version", router_.routes().version())
-      .with("routes", router_.routes().size())
+      .with("version", host_.router().routes().version())
+      .with("routes", host_.router().routes().size())
       .with("source", reply.source())
-      .with("trust", name_of(trust))
+      .with("trust", name_of(trust_of(reply)))
       .with("quorum_age_ms", reply.quorum_age_ms());
 }
 
-// A change for another version answers a request that was sent before the last reply arrived.
-void flow_daemon::apply_change(const wire::flow_declaration_change& change) {
-  if (change.base_version() != router_.routes().version()) return;
-  const auto applied = router_.apply(change);
-  if (applied.has_value()) return;
-  log_warning("declaration_change_refused").with(applied.error());
-  needs_complete_declaration_ = true;
-}
-
 void flow_daemon::handle_packets(time_point now, std::size_t count) {
-  last_packet_ = now;
   for (std::size_t n = 0; n < count; ++n) {
     const auto head = platform::decode_head(socket_->received(n));
     if (head)
@@ -241,9 +188,8 @@
   flush();
 }
 
-// Packets that still cannot be decided are held again, for the rest of their time.
 void flow_daemon::release_held_packets(time_point now) {
-  auto packets = held_.take(now);
+  auto packets = host_.take_held(now);
   std::size_t queued = 0;
   for (auto& it : packets) {
     handle_packet(it.arrived, it.head, it.bytes);
@@ -254,11 +200,10 @@
 
 void flow_daemon::handle_packet(time_point now, const packet_head& head,
                                 std::span<std::byte> bytes) {
-  const auto decision = router_.route(now, head);
+  const auto decision = host_.handle(now, head, bytes);
   log_decision(now, head, decision);
   if (decision.answered_after)
     answer_durations_.record(static_cast<double>(decision.answered_after->count()));
-  if (decision.action == flow_decision::action_type::hold) return held_.add(now, head, bytes);
   if (decision.action == flow_decision::action_type::reset) return queue_reset(head);
   if (decision.action != flow_decision::action_type::forward) return;
   const auto number = platform::id_number(*decision.upstream_id);
@@ -288,16 +233,16 @@
                                                                        : log_level::warning,
                 name_of(decision.reason));
   line.with("caller", head.source).with("service_address", head.destination);
-  line.with("copies", head.acknowledged).with("version", router_.routes().version());
+  line.with("copies", head.acknowledged).with("version", host_.router().routes().version());
   if (decision.upstream_id == nullptr) {
     line.with("tag", head.route_tag);
     return;
   }
-  const auto* upstream = router_.upstreams().find_tag(decision.route_tag);
+  const auto* upstream = host_.router().upstreams().find_tag(decision.route_tag);
   line.with("upstream", *decision.upstream_id).with("address", decision.destination);
   if (upstream == nullptr) return;
   const auto age = std::chrono::duration_cast<milliseconds>(now - upstream->last_report);
-  line.with("open_flows", router_.flows().open_flows(upstream->incarnation))
+  line.with("open_flows", host_.router().flows().open_flows(upstream->incarnation))
       .with("report_age_ms", age.count());
 }
 
@@ -306,28 +251,29 @@
 void flow_daemon::log_status(time_point now) {
   next_status_ = now + status_interval;
   log_info("status")
-      .with("version", router_.routes().version())
-      .with("in_force_ms", elapsed_ms(in_force_since_, now))
-      .with("update_age_ms", elapsed_ms(last_update_, now))
-      .with("upstreams", router_.upstreams().size())
-      .with("open_flows", router_.flows().size());
+      .with("version", host_.router().routes().version())
+      .with("in_force_ms", elapsed_ms(host_.in_force_since(), now))
+      .with("update_age_ms", elapsed_ms(host_.last_update(), now))
+      .with("upstreams", host_.router().upstreams().size())
+      .with("open_flows", host_.router().flows().size());
 }
 
 void flow_daemon::publish(time_point now) {
   next_publish_ = now + publish_interval;
-  metrics_.gauge_of("update_age_ms").set(static_cast<double>(elapsed_ms(last_update_, now)));
+  metrics_.gauge_of("update_age_ms").set(static_cast<double>(elapsed_ms(host_.last_update(), now)));
   for (std::size_t n = 0; n < flow_decision::reason_count; ++n) {
     const auto why = static_cast<flow_decision::reason_type>(n);
     metrics_.gauge_of("packets", std::string("decision=") + name_of(why))
-        .set(static_cast<double>(router_.count_of(why)));
+        .set(static_cast<double>(host_.router().count_of(why)));
   }
   metrics_.gauge_of("packets_malformed").set(static_cast<double>(malformed_));
   metrics_.gauge_of("packets_unsent").set(static_cast<double>(unsent_));
-  metrics_.gauge_of("open_flows").set(static_cast<double>(router_.flows().size()));
-  metrics_.gauge_of("packets_held").set(static_cast<double>(held_.size()));
-  metrics_.gauge_of("packets_held_dropped").set(static_cast<double>(held_.dropped()));
-  metrics_.gauge_of("upstreams").set(static_cast<double>(router_.upstreams().size()));
-  metrics_.gauge_of("declaration_version").set(static_cast<double>(router_.routes().version()));
+  metrics_.gauge_of("open_flows").set(static_cast<double>(host_.router().flows().size()));
+  metrics_.gauge_of("packets_held").set(static_cast<double>(host_.held().size()));
+  metrics_.gauge_of("packets_held_dropped").set(static_cast<double>(host_.held().dropped()));
+  metrics_.gauge_of("upstreams").set(static_cast<double>(host_.router().upstreams().size()));
+  metrics_.gauge_of("declaration_version")
+      .set(static_cast<double>(host_.router().routes().version()));
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -6,9 +6,7 @@
 #include "update_client.h"
 #include "zinniarelay/config/flow_settings.h"
 #include "zinniarelay/config/settings_watch.h"
-#include "zinniarelay/flow/flow_router.h"
-#include "zinniarelay/flow/held_packets.h"
-#include "zinniarelay/flow/readiness.h"
+#include "zinniarelay/flow/flow_host.h"
 #include "zinniarelay/http/http_server.h"
 #include "zinniarelay/observe/log_rate_limiter.h"
 #include "zinniarelay/observe/metric_registry.h"
@@ -49,9 +47,7 @@
   /// Detects that the process did not run for a while.
   void detect_suspension(time_point now);
   void apply_updates(time_point now);
-  /// Puts the declaration or the change of a reply in force if it is acceptable.
-  void apply_declaration(time_point now, const wire::news_reply& reply);
-  void apply_change(const wire::flow_declaration_change& change);
+  void log_declaration(const wire::news_reply& reply);
   void handle_packets(time_point now, std::size_t count);
   /// `bytes` is the packet, preceded by the headroom of packet_socket. It stays valid until
   /// flush().
@@ -67,10 +63,7 @@
 
   flow_settings settings_;
   random_engine engine_;
-  bool needs_complete_declaration_ = false; ///< a change led to another declaration
-  flow_router router_;
-  held_packets held_;
-  readiness readiness_;
+  flow_host host_;
   std::atomic<bool> is_ready_{false};
   log_rate_limiter log_rate_limiter_;
   metric_registry metrics_;
@@ -83,10 +76,7 @@
   std::unique_ptr<http_server> metrics_server_;
   std::array<std::array<std::byte, platform::head_size>, packet_socket::batch> resets_{};
   std::size_t reset_count_ = 0;
-  time_point last_packet_;
   time_point last_iteration_; ///< of the loop in run()
-  time_point last_update_;    ///< of a control host; the start of this host before the first
-  time_point in_force_since_; ///< of the declaration; the start of this host before the first
   time_point next_publish_;
   time_point next_status_;
   time_point next_presence_;
--- a/tests/libraries/flow/flow_router_test.cpp
+++ b/tests/libraries/flow/flow_router_test.cpp
@@ -20,7 +20,7 @@
 
 flow_router router_of(std::uint64_t seed = 1) {
   flow_router_settings settings;
-  settings.zone = "a";
+  settings.selection.zone = "a";
   return {settings, random_engine(seed)};
 }
 
