flow, platform, config, daemons: small faults that the review saw

Cause: (1) a report without a start time names no incarnation; two of them with different addresses left an address that later reports at it could not use (std::out_of_range). (2) An account leaves out upstreams that the control host has removed after 90 s without a report, and entry hosts took them for live. (3) SIGHUP or SIGTERM before the handlers are installed ends the process. (4) A duration with a fraction was refused, so that a daemon did not start.

Ruled out: marking an upstream without reports as gone, which never reverts; an upstream that is cut off for longer than 90 s must be able to return.

--- a/include/zinniarelay/flow/upstream_directory.h
+++ b/include/zinniarelay/flow/upstream_directory.h
@@ -61,8 +61,8 @@
   /// overdue by its account are by this one's too.
   void record_liveness(time_point now, const wire::upstream_liveness& liveness,
                        milliseconds overdue_after);
-  /// Returns which upstreams have reported within a time. The result is empty when more than
-  /// `max_overdue` are overdue.
+  /// Returns which upstreams have reported within a time; those that were removed for not reporting
+  /// are overdue. The result is empty when more than `max_overdue` are overdue.
   std::optional<wire::upstream_liveness> liveness(time_point now, milliseconds overdue_after,
                                                   std::size_t max_overdue) const;
 
@@ -129,6 +129,9 @@
   std::unordered_map<std::string, std::uint64_t> by_id_;
   /// The incarnation that started last at an address.
   std::unordered_map<endpoint, std::uint64_t> by_address_;
+  /// When incarnations were removed that had stopped reporting without leaving. Kept for one
+  /// retention time, in which other hosts may still list them.
+  std::map<std::uint64_t, time_point> forgotten_;
   /// When two incarnations have the same tag, all hosts keep the lower incarnation.
   std::unordered_map<std::uint32_t, std::uint64_t> by_tag_;
 };
--- a/libraries/config/yaml_map.cpp
+++ b/libraries/config/yaml_map.cpp
@@ -25,6 +25,39 @@
   return value;
 }
 
+// Returns a decimal number, such as "6.5", in thousandths; no value with more than three decimals.
+std::optional<std::uint64_t> parse_thousandths(std::string_view text) {
+  constexpr std::size_t max_decimals = 3;
+  const auto point = text.find('.');
+  if (point == std::string_view::npos) return std::nullopt;
+  auto decimals = std::string(text.substr(point + 1));
+  if (decimals.empty() || decimals.size() > max_decimals) return std::nullopt;
+  decimals.resize(max_decimals, '0');
+  const auto whole = parse_number(text.substr(0, point));
+  const auto fraction = parse_number(decimals);
+  std::uint64_t out = 0;
+  if (!whole || !fraction || __builtin_mul_overflow(*whole, 1'000, &out) ||
+      __builtin_add_overflow(out, *fraction, &out))
+    return std::nullopt;
+  return out;
+}
+
+// Returns a duration with a decimal point, such as "6.5 s", in milliseconds. Fractions of a
+// millisecond are refused.
+std::optional<std::uint64_t> parse_decimal_duration(std::string_view text) {
+  const auto number_size = text.find_first_not_of("0123456789.");
+  if (number_size == std::string_view::npos) return std::nullopt;
+  const auto thousandths = parse_thousandths(text.substr(0, number_size));
+  const auto name = text.substr(std::min(text.find_first_not_of(' ', number_size), text.size()));
+  const auto it = std::find_if(duration_units.begin(), duration_units.end(),
+                               [&](const auto& u) { return u.name == name; });
+  std::uint64_t product = 0;
+  if (!thousandths || it == duration_units.end() ||
+      __builtin_mul_overflow(*thousandths, it->factor, &product) || product % 1'000 != 0)
+    return std::nullopt;
+  return product / 1'000;
+}
+
 template <std::size_t N>
 std::optional<std::uint64_t> parse_quantity(std::string_view text,
                                             const std::array<unit, N>& units) {
@@ -169,7 +202,8 @@
   if (!value) return std::nullopt;
   const auto low = static_cast<std::uint64_t>(range.low.count());
   const auto high = static_cast<std::uint64_t>(range.high.count());
-  const auto parsed = parse_quantity(*value, duration_units);
+  auto parsed = parse_quantity(*value, duration_units);
+  if (!parsed) parsed = parse_decimal_duration(*value);
   if (parsed && *parsed >= low && *parsed <= high)
     return milliseconds(static_cast<milliseconds::rep>(*parsed));
   sink_.report(place(key), std::string(key) + " is " + in_quotes(*value),
--- a/libraries/flow/upstream_directory.cpp
+++ b/libraries/flow/upstream_directory.cpp
@@ -31,7 +31,8 @@
   next.condition = condition;
   next.sequence = std::max(previous.sequence, report.sequence);
   const bool is_changed = !next.has_same_content(previous);
-  const bool is_moved = next.address != previous.address;
+  const auto previous_address = previous.address;
+  const bool is_moved = next.address != previous_address;
   if (next.condition != previous.condition) existing.last_state_change = now;
   existing.report = std::move(next);
   existing.last_report = now;
@@ -42,6 +43,9 @@
   else
     record_refresh(existing);
   if (is_moved) {
+    if (const auto former = by_address_.find(previous_address);
+        former != by_address_.end() && former->second == existing.incarnation)
+      by_address_.erase(former);
     by_address_[existing.report.address] = existing.incarnation;
     by_tag_.erase(existing.route_tag);
     existing.route_tag = existing.report.route_tag();
@@ -79,6 +83,7 @@
 upstream_directory::merge_result
 upstream_directory::add(time_point now, const upstream_report& report, origin from) {
   const auto key = report.incarnation();
+  forgotten_.erase(key);
   entry added;
   added.report = report;
   added.incarnation = key;
@@ -224,6 +229,10 @@
     if (now - it.last_report > overdue_after) out.add_overdue(incarnation);
     if (static_cast<std::size_t>(out.overdue_size()) > max_overdue) return std::nullopt;
   }
+  // Hosts that still list a forgotten upstream would otherwise count it as reporting.
+  for (const auto& [incarnation, removed] : forgotten_)
+    out.add_overdue(incarnation);
+  if (static_cast<std::size_t>(out.overdue_size()) > max_overdue) return std::nullopt;
   for (const auto& [zone, latest] : zones) {
     auto& contact = *out.add_zones();
     contact.set_zone(zone);
@@ -242,8 +251,11 @@
   std::vector<std::uint64_t> expired;
   for (const auto& [key, it] : entries_)
     if (now - std::max(it.last_report, it.last_state_change) > retention_) expired.push_back(key);
-  for (const auto key : expired)
+  for (const auto key : expired) {
+    if (entries_.at(key).report.condition != state::gone) forgotten_[key] = now;
     erase(key);
+  }
+  std::erase_if(forgotten_, [&](const auto& it) { return now - it.second > retention_; });
 }
 
 void upstream_directory::erase(std::uint64_t incarnation) {
--- a/libraries/flow/upstream_report.cpp
+++ b/libraries/flow/upstream_report.cpp
@@ -56,6 +56,7 @@
 result<upstream_report> upstream_report::from_wire(const wire::upstream_report& message) {
   const auto place = "upstream '" + message.id() + "'";
   if (message.id().empty()) return failure(error_kind::malformed, place, "has no id");
+  if (message.started_ms() == 0) return failure(error_kind::malformed, place, "has no start time");
   upstream_report out;
   switch (message.state()) {
   case wire::upstream_ready:
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -1,5 +1,6 @@
 #include "control_server.h"
 #include "platform/operator_api.h"
+#include "shared/blocked_signals.h"
 #include "shared/daemon_command_line.h"
 #include "shared/notice_socket.h"
 #include "zinniarelay/config/control_settings.h"
@@ -25,15 +26,6 @@
   return 1;
 }
 
-sigset_t handled_signals() {
-  sigset_t set;
-  sigemptyset(&set);
-  sigaddset(&set, SIGINT);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGHUP);
-  return set;
-}
-
 wire::control_member member_of(control_id id, endpoint address, zone_id zone) {
   wire::control_member out;
   out.set_id(id.value);
@@ -125,9 +117,8 @@
 
 int serve(const std::filesystem::path& settings_file, const control_settings& settings,
           const control_host_settings& host_settings, storage& files) {
-  // Signals are blocked before any thread starts, so only the loop below receives them.
-  const auto signals = handled_signals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  // The signals are blocked in all threads, so only the loop below receives them.
+  const auto signals = daemon_signals();
   // With SIGXFSZ ignored, a write beyond the limit on file sizes fails with an error and does not
   // end the process.
   std::signal(SIGXFSZ, SIG_IGN);
--- a/services/flowd/main.cpp
+++ b/services/flowd/main.cpp
@@ -1,4 +1,5 @@
 #include "flow_daemon.h"
+#include "shared/blocked_signals.h"
 #include "shared/daemon_command_line.h"
 #include "zinniarelay/observe/log_line.h"
 
@@ -23,6 +24,8 @@
   std::signal(SIGINT, on_stop);
   std::signal(SIGHUP, on_reload);
   std::signal(SIGPIPE, SIG_IGN);
+  const auto signals = daemon_signals();
+  sigprocmask(SIG_UNBLOCK, &signals, nullptr);
   auto daemon = flowd::flow_daemon::create(settings, seeded_engine());
   if (!daemon.has_value()) {
     log_error("start_failed").with(daemon.error());
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -2,6 +2,7 @@
 #include "temporary_folder.h"
 #include "zinniarelay/config/control_settings.h"
 #include "zinniarelay/config/entry_settings.h"
+#include "zinniarelay/config/flow_settings.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -119,6 +120,20 @@
 
 // Guards against a cluster with an even number of voters, or with a voter that uses
 // the identifier of another host (docs/design.md R25).
+// Guards against an entry host that does not start because a duration has a fraction.
+BOOST_AUTO_TEST_CASE(reads_durations_with_a_fraction) {
+  const auto stop_grace_of = [&](const std::string& value) {
+    return load<flow_settings>("name: entry-1\nzone_name: a\npacket_address: 127.0.0.1:7001\n"
+                               "ready_address: 127.0.0.1:7002\n"
+                               "control_hosts: [\"127.0.0.1:9001\"]\nstop_grace: " +
+                               value + "\n");
+  };
+  BOOST_TEST((stop_grace_of("6.5 s").value().stop_grace() == milliseconds(6'500)));
+  BOOST_TEST((stop_grace_of("6.0 s").value().stop_grace() == milliseconds(6'000)));
+  for (const auto* it : {"6. s", ".5 s", "6.5", "6.0005 s", "6.5.1 s", "6.5 ms"})
+    BOOST_TEST(!stop_grace_of(it).has_value(), it);
+}
+
 BOOST_AUTO_TEST_CASE(reports_all_control_faults_with_their_places) {
   const strings expected{
       "1:1 key 'data_folder' is missing in the control settings",
--- a/tests/libraries/flow/upstream_directory_test.cpp
+++ b/tests/libraries/flow/upstream_directory_test.cpp
@@ -172,6 +172,52 @@
   BOOST_TEST((entry_host.find_id("i-2")->last_report == time_at(milliseconds(5'000))));
 }
 
+// Guards against a crashed upstream that gets new flows again, because the control host has removed
+// it and its account no longer lists it as overdue.
+BOOST_AUTO_TEST_CASE(removed_upstream_does_not_count_as_reporting) {
+  constexpr milliseconds overdue_after{4'000};
+  constexpr milliseconds retention{10'000};
+  upstream_directory control_host(retention);
+  upstream_directory entry_host(retention);
+  const auto crashed = report_of("i-1", 81);
+  control_host.merge(time_at({}), crashed, origin::upstream);
+  entry_host.begin_list();
+  entry_host.merge(time_at({}), control_host.updates_since(0));
+  const auto removed = time_at(retention + milliseconds(100));
+  control_host.remove_expired(removed);
+  BOOST_TEST_REQUIRE(control_host.find_id("i-1") == nullptr);
+  entry_host.record_liveness(removed, control_host.liveness(removed, overdue_after, 10).value(),
+                             overdue_after);
+  BOOST_TEST((removed - entry_host.find_id("i-1")->last_report > overdue_after));
+
+  auto returned = crashed;
+  returned.sequence = 2;
+  control_host.merge(removed, returned, origin::upstream);
+  BOOST_TEST(control_host.liveness(removed, overdue_after, 10)->overdue_size() == 0);
+}
+
+// Guards against an address that stays with an incarnation which moved and was removed: the next
+// upstream at this address could not be added.
+BOOST_AUTO_TEST_CASE(former_address_of_a_removed_upstream_is_free) {
+  upstream_directory directory(milliseconds(1'000));
+  auto moved = report_of("i-1", 81);
+  directory.merge(time_at({}), moved, origin::upstream);
+  moved.address.port = 82;
+  moved.sequence = 2;
+  directory.merge(time_at({}), moved, origin::upstream);
+  const auto later = time_at(milliseconds(2'000));
+  directory.remove_expired(later);
+  BOOST_TEST((directory.merge(later, report_of("i-2", 81), origin::upstream) ==
+              upstream_directory::merge_result::changed));
+}
+
+// Guards against a report without a start time, which names no incarnation.
+BOOST_AUTO_TEST_CASE(report_without_a_start_time_is_malformed) {
+  auto message = report_of("i-1", 81).to_wire();
+  message.clear_started_ms();
+  BOOST_TEST(!upstream_report::from_wire(message).has_value());
+}
+
 // Guards against an odd report with a start in the far future, which would replace the upstream
 // that runs under its id or address.
 BOOST_AUTO_TEST_CASE(start_in_the_far_future_is_not_plausible) {
--- a/tests/libraries/platform/odd_reports_test.cpp
+++ b/tests/libraries/platform/odd_reports_test.cpp
@@ -96,6 +96,7 @@
       {"sequence", repeated("9", 100'000)},
       {"born", "18446744073709551615"},
       {"born", "9223372036854775807"},
+      {"born", "0"},
       {"maxConcurrency", "4294967296"},
       {"maxConcurrency", "18446744073709551615"},
       {"warmupLeftMs", "18446744073709551615"},
--- a/tests/libraries/platform/operator_api_test.cpp
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -141,6 +141,25 @@
   BOOST_TEST(!operations.reported.has_value());
 }
 
+// Guards against a report that names no incarnation: it would replace another report without a
+// start time at its address.
+BOOST_AUTO_TEST_CASE(report_without_a_start_time_is_refused) {
+  const auto body = replace_first(report, R"(,"born":1700000000000)", "");
+  BOOST_TEST(post(platform::report_path("i-7f"), body) == 400);
+  BOOST_TEST(!operations.reported.has_value());
+}
+
+// Guards against an operator who believes that new flows go to a service which does not exist.
+BOOST_AUTO_TEST_CASE(unknown_service_beside_a_list_of_shares_is_refused) {
+  const auto with_service = [](const std::string& name) {
+    return replace_first(declaration, R"("trafficSplit")",
+                         R"("service":")" + name + R"(","trafficSplit")");
+  };
+  BOOST_TEST(post(platform::replace_declaration_path(), with_service("elsewhere")) == 400);
+  BOOST_TEST(operations.proposed.declaration().routes_size() == 0);
+  BOOST_TEST(post(platform::replace_declaration_path(), with_service("history")) == 200);
+}
+
 // Guards against simulated upstreams whose reports differ from the decoded format.
 BOOST_AUTO_TEST_CASE(encoded_reports_are_decoded_unchanged) {
   const auto written = platform::decode_report("i-7f", report).value();
