tests: unary_call_test outlives gRPC's callback threads

The trace (gdb) ends in grpc_cq_internal_unref on gRPC's own callback thread: gRPC 1.51 ends these threads with the last channel, and aborts when that channel is destroyed on one of them, which happens when the test's thread returns first.

Ruled out: the product's call_unary; daemons keep their channels.

Change: the test program keeps one channel until its end.

--- a/tests/services/shared/unary_call_test.cpp
+++ b/tests/services/shared/unary_call_test.cpp
@@ -63,6 +63,24 @@
   std::thread worker_;
 };
 
+// gRPC 1.51 ends its callback threads with the last channel that has used them, and aborts when
+// that channel is destroyed on one of these threads. This channel outlives the calls of the tests.
+struct callback_threads {
+  callback_threads() {
+    std::promise<void> ended;
+    auto is_ended = ended.get_future();
+    context.set_deadline(std::chrono::system_clock::now());
+    call_unary(channel, "/zinnia.wire.service_endpoint/Serve", context, wire::serve_request(),
+               reply, [&](const grpc::Status& /*status*/) { ended.set_value(); });
+    is_ended.wait();
+  }
+
+  std::shared_ptr<grpc::Channel> channel =
+      grpc::CreateChannel("127.0.0.1:1", grpc::InsecureChannelCredentials());
+  grpc::ClientContext context;
+  wire::serve_reply reply;
+};
+
 /// Calls a server that answers with the given bytes.
 grpc::Status call(const std::string& answer, wire::serve_reply& reply) {
   const raw_server server(answer);
@@ -82,6 +100,8 @@
   return out;
 }
 
+BOOST_TEST_GLOBAL_FIXTURE(callback_threads);
+
 BOOST_AUTO_TEST_SUITE(unary_call_test)
 
 BOOST_AUTO_TEST_CASE(reply_is_decoded) {
