control, flow: an operator evacuates and restores zones of packet flows

The replicated log holds the evacuations with a version that counts their changes. An order names the version at which its zone had changed when a control host received it, so that a delayed copy does not undo a later order; it goes to the leader under one identifier. Entry hosts get a higher version as an urgent update and leave the zone's upstreams out of the lists for new flows. Restored views have the evacuations, and the zones whose evacuation is in the log but not known to be committed. Ruled out: an acknowledgement from the applied state, wrong on a host that lags; a read before the base is noted, which would let a delayed copy undo an order.

--- a/include/zinniarelay/config/control_settings.h
+++ b/include/zinniarelay/config/control_settings.h
@@ -52,6 +52,8 @@
 
   /// Absent when an operator founds the group and changes its members.
   const std::optional<group_formation>& group() const { return group_; }
+  /// Names of the zones that operators may evacuate although they have no upstream.
+  const std::vector<std::string>& zones() const { return zones_; }
   /// Addresses of the operators' HTTP interface and of the metrics; absent when not served.
   const std::optional<endpoint>& operator_address() const { return operator_address_; }
   const std::optional<endpoint>& metrics_address() const { return metrics_address_; }
@@ -72,6 +74,7 @@
   std::filesystem::path data_folder_;
   std::vector<founding_member> founding_members_;
   std::optional<group_formation> group_;
+  std::vector<std::string> zones_;
   std::optional<endpoint> operator_address_;
   std::optional<endpoint> metrics_address_;
   std::string name_;
--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -12,6 +12,7 @@
 #include "zinniarelay/flow/compact_replies.h"
 #include "zinniarelay/flow/declaration_contents.h"
 #include "zinniarelay/flow/declaration_history.h"
+#include "zinniarelay/flow/evacuated_zones.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
 #include "zinniarelay/replication/log_store.h"
@@ -38,6 +39,7 @@
   std::size_t peers_in_reply = 16;       ///< entry hosts listed in one reply to Sync
   /// Set for a group that forms and repairs itself (docs/design.md R33).
   std::optional<group_settings> group;
+  std::vector<std::string> zones; ///< names that operators may evacuate without an upstream in them
 };
 
 /// The control role: replicated log, applied state, replies to operators and entry hosts,
@@ -110,6 +112,22 @@
   std::optional<wire::version_reply> version_reply_for(const ticket& pending) const;
   wire::version_reply unconfirmed_version() const;
 
+  /// Completes an order to evacuate or restore a zone at the time at which this host receives it:
+  /// names the state of the zone that the order is based on. A forwarded order is unchanged.
+  /// Returns false when this host was suspended and the order may be older than the state.
+  bool receive_evacuation(time_point now, wire::evacuation_request& request) const;
+  /// Proposes an order that receive_evacuation() has completed. An order for an unknown zone is
+  /// refused as invalid. The reply to the ticket is evacuation_reply_for().
+  submission<wire::apply_reply> evacuate(time_point now, std::uint64_t wall_ms,
+                                         const wire::evacuation_request& request);
+  std::optional<wire::apply_reply> evacuation_reply_for(const ticket& pending) const;
+  /// Returns the evacuations that this host knows to be committed.
+  const evacuated_zones& evacuations() const { return evacuations_; }
+  /// Returns the zones evacuated and restored since the last call.
+  std::vector<evacuated_zones::change> take_zone_changes();
+  /// Returns the known zones with their evacuations and upstreams.
+  wire::zones_reply zones() const;
+
   /// A read that waits for a quorum to confirm the leader; `index` covers every entry that
   /// was acknowledged before the read.
   struct read_ticket {
@@ -135,6 +153,7 @@
   struct view_position {
     std::uint64_t version = 0;
     std::uint64_t upstreams = 0;
+    std::uint64_t evacuations = 0;
 
     friend bool operator==(const view_position&, const view_position&) = default;
   };
@@ -224,6 +243,15 @@
   void add_liveness(time_point now, const wire::news_request& request, wire::news_reply& reply);
   /// Adds the committed declaration, as a part or a change where the entry host accepts one.
   void add_declaration(time_point now, const wire::news_request& request, wire::news_reply& reply);
+  /// Puts the newest committed evacuations in force.
+  void update_evacuations(time_point now, const wire::zone_evacuations& committed);
+  /// Adds the evacuations if the entry host lacks them.
+  void add_evacuations(time_point now, const wire::news_request& request,
+                       wire::news_reply& reply) const;
+  /// Returns the evacuations after all entries of the log, of which some may not be committed.
+  wire::zone_evacuations logged_evacuations() const;
+  bool lacks_evacuations(const wire::news_request& request) const;
+  bool is_known_zone(const std::string& zone) const;
   bool has_quorum(time_point now) const;
   /// Whether this host serves its restored view until its first contact with a quorum.
   bool serves_restored_view(time_point now) const;
@@ -253,6 +281,9 @@
   wire::versioned_declaration flows_;
   declaration_history history_;
   wire::flow_declaration restored_declaration_; ///< from the restored view
+  evacuated_zones evacuations_;
+  wire::zone_evacuations logged_evacuations_; ///< at the start of this host
+  std::vector<evacuated_zones::change> zone_changes_;
   time_point started_;
   upstream_directory upstreams_;
   start_notices notices_;
--- a/include/zinniarelay/control/flow_operations.h
+++ b/include/zinniarelay/control/flow_operations.h
@@ -15,6 +15,7 @@
   enum class outcome {
     done,        ///< committed by a quorum, or received by enough hosts
     invalid,     ///< the declaration or the report is not valid
+    not_found,   ///< the order names an unknown zone
     unconfirmed, ///< may or may not take effect; retry at this or another control host
   };
 
@@ -23,6 +24,11 @@
     std::string cause;
   };
 
+  enum class zone_order {
+    evacuate, ///< no new flows go to the upstreams of the zone
+    restore,
+  };
+
   virtual ~flow_operations() = default;
 
   /// Puts a declaration in force unless a version at least as high is in force.
@@ -30,6 +36,9 @@
   /// Returns the document in force as its operator sent it, or no value when no quorum
   /// confirms which document is in force.
   virtual std::optional<std::string> read_document() = 0;
+  /// Evacuates or restores a zone. An order that is in force already is done. The answer is
+  /// unconfirmed too when the zone has changed since the order was received.
+  virtual answer order_zone(const std::string& zone, zone_order order) = 0;
   /// Merges the report of an upstream. The report of an upstream that leaves is acknowledged
   /// only when further control hosts have it.
   virtual answer report(const upstream_report& value) = 0;
--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -45,8 +45,9 @@
 
   /// What an update changed.
   struct update_result {
-    bool is_declaration_new = false; ///< another version is in force
-    std::optional<error> refusal;    ///< why a change of the declaration was not applied
+    bool is_declaration_new = false;            ///< another version is in force
+    std::optional<error> refusal;               ///< why a change of the declaration was not applied
+    std::vector<evacuated_zones::change> zones; ///< evacuated and restored
   };
   /// Puts a reply of a control host in force; `requested` is when the request was sent.
   update_result apply(time_point now, const wire::news_reply& reply, time_point requested);
@@ -55,6 +56,9 @@
     return needs_complete_declaration_ ? 0 : router_.routes().version();
   }
 
+  /// Returns the version of the evacuations that the next request names.
+  std::uint64_t evacuations_version() const { return router_.evacuations().version(); }
+
   /// Records that the process runs. Returns the time for which it did not run, if it was suspended.
   std::optional<milliseconds> record_iteration(time_point now);
   /// Removes idle flows and expired upstreams.
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -3,6 +3,7 @@
 #include "flow.pb.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/evacuated_zones.h"
 #include "zinniarelay/flow/flow_table.h"
 #include "zinniarelay/flow/packet_head.h"
 #include "zinniarelay/flow/route_table.h"
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace zinnia {
 
@@ -73,9 +75,13 @@
   bool apply(const wire::flow_declaration& declaration);
   /// Puts a change of the declaration in force. Fails and changes nothing as route_table::apply().
   result<void> apply(const wire::flow_declaration_change& change) { return routes_.apply(change); }
+  /// Puts evacuations of zones in force: from now on no flow is opened in such a zone. Returns the
+  /// zones that changed; none when a version at least as high is in force.
+  std::vector<evacuated_zones::change> apply(time_point now,
+                                             const wire::zone_evacuations& evacuations);
   /// Records that a control host in contact with a quorum knows of no newer declaration than this
   /// version. From the time that it is in force, a route that it does not have does not exist.
-  void confirm(std::uint64_t version = 0) { confirmed_version_ = version; }
+  void confirm(std::uint64_t version = 0);
   /// Whether an update leaves out upstreams that the control host has.
   enum class update_extent { complete, partial };
   /// Merges an update from a control host. Returns true when the directory's content changed. Until
@@ -101,11 +107,16 @@
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
   const flow_table& flows() const { return flows_; }
+  const evacuated_zones& evacuations() const { return evacuations_; }
+  /// Returns the number of openings for which upstreams of evacuated zones were left out.
+  std::uint64_t openings_kept_away() const { return selector_.kept_away(); }
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
 private:
   /// Decides on an opening packet.
   flow_decision open_flow(time_point now, const packet_head& head);
+  /// Returns true when a flow may be opened at an upstream.
+  bool accepts_flows(const upstream_directory::entry& upstream) const;
   static bool is_opening(time_point now, const flow_table::flow& flow);
   bool is_outdated(time_point now) const;
   /// Returns true when the declaration in force is at least as new as one that a quorum confirmed.
@@ -119,6 +130,7 @@
   route_table routes_;
   upstream_directory upstreams_;
   flow_table flows_;
+  evacuated_zones evacuations_;
   upstream_selector selector_;
   bool is_list_complete_ = false;
   std::uint64_t list_source_ = 0; ///< process whose list of upstreams was merged last
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -2,6 +2,7 @@
 
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/evacuated_zones.h"
 #include "zinniarelay/flow/flow_table.h"
 #include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
@@ -53,8 +54,10 @@
   /// Records that an update of a control host arrived.
   void record_update(time_point now) { last_update_ = now; }
 
-  /// Follows changes of the directory's content.
-  void index_services(const upstream_directory& upstreams);
+  /// Follows changes of the directory's content and of the evacuations.
+  void index_services(const upstream_directory& upstreams, const evacuated_zones& evacuations);
+  /// Returns the number of selections for which upstreams of evacuated zones were left out.
+  std::uint64_t kept_away() const { return kept_away_; }
   /// Removes the observations of upstreams that the directory no longer contains.
   void remove_expired(const upstream_directory& upstreams);
 
@@ -69,6 +72,7 @@
   struct ready_upstreams {
     std::vector<std::uint64_t> local; ///< in the zone of this host
     std::vector<std::uint64_t> remote;
+    bool has_evacuated = false; ///< others are in evacuated zones
   };
 
   /// Adds upstreams of the list, at most max_compared of them from a random position on.
@@ -84,6 +88,7 @@
   zone_health zone_health_;
   std::map<std::string, ready_upstreams> ready_upstreams_; ///< by service
   std::optional<time_point> last_update_;
+  std::uint64_t kept_away_ = 0;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/replication/control_state.h
+++ b/include/zinniarelay/replication/control_state.h
@@ -42,6 +42,11 @@
   /// Returns the declaration of packet flows in force; version 0 before the first.
   const wire::versioned_action& flows() const { return flows_; }
 
+  /// Returns the zones that were ever evacuated; version 0 before the first evacuation.
+  const wire::zone_evacuations& evacuations() const { return evacuations_; }
+  /// Returns the version of the evacuations at the last change of a zone; 0 if there was none.
+  std::uint64_t changed_version_of(const std::string& zone) const;
+
   /// Returns all services and active drains.
   wire::configuration complete() const;
 
@@ -71,6 +76,7 @@
   state_change apply(const wire::apply_action& action);
   state_change apply(const wire::drain_entry& action);
   state_change apply(const wire::versioned_action& action);
+  state_change apply(const wire::evacuation_action& action);
   /// Stores a declared service; `id` is 0 for a new service.
   void put(const wire::service_declaration& declared, std::uint32_t id, state_change& change);
   void remove(std::uint32_t id, state_change& change);
@@ -98,6 +104,7 @@
   std::deque<wire::audit_record> audit_;
   std::uint64_t last_digest_ = 0;
   wire::versioned_action flows_;
+  wire::zone_evacuations evacuations_;
 };
 
 } // namespace zinnia
--- a/libraries/config/control_settings.cpp
+++ b/libraries/config/control_settings.cpp
@@ -42,6 +42,21 @@
   return out;
 }
 
+std::vector<std::string> read_zone_names(yaml_map& map, finding_sink& sink) {
+  std::vector<std::string> out;
+  for (const auto& node : map.list("zones", presence::optional)) {
+    if (!node.IsScalar() || node.Scalar().empty()) {
+      sink.report(node.Mark(), "zones has an entry that is not a name", "names of zones");
+      continue;
+    }
+    if (std::find(out.begin(), out.end(), node.Scalar()) != out.end())
+      sink.report(node.Mark(), "zone " + in_quotes(node.Scalar()) + " is listed twice");
+    else
+      out.push_back(node.Scalar());
+  }
+  return out;
+}
+
 } // namespace
 
 checked<control_settings> control_settings::load(const std::filesystem::path& path) {
@@ -61,6 +76,7 @@
   out.metrics_address_ = map.address("metrics_address", presence::optional);
   out.address_ = map.address("address", presence::required).value_or(endpoint{});
   out.listen_address_ = map.address("listen_address", presence::optional).value_or(out.address_);
+  out.zones_ = read_zone_names(map, sink);
   out.cluster_ = map.number("cluster", presence::required, identifier_range).value_or(0);
   // The folder must exist already. Creating it for a mistyped path would look like a
   // lost disk, and a voter without its stored identity must not vote
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -78,7 +78,9 @@
     out.state_ = std::move(state);
     out.applied_index_ = snapshot->last_index();
     out.decode_flows();
+    out.update_evacuations(now, out.state_.evacuations());
   }
+  out.logged_evacuations_ = out.logged_evacuations();
   return out;
 }
 
@@ -94,6 +96,8 @@
   opened.sync_count_ = sync_count_;
   opened.group_changes_ = group_changes_;
   opened.restored_declaration_ = committed_declaration();
+  opened.evacuations_ = std::move(evacuations_);
+  opened.zone_changes_ = std::move(zone_changes_);
   opened.upstreams_ = std::move(upstreams_);
   opened.notices_ = std::move(notices_);
   opened.last_tick_ = last_tick_;
@@ -127,6 +131,7 @@
   auto effects = node_.step(now, std::move(event));
   execute(effects);
   compact_if_due(now);
+  update_evacuations(now, state_.evacuations());
   return effects;
 }
 
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -104,6 +104,7 @@
 
 void control_host::restore_view(time_point now, wire::recalled_view view) {
   restored_declaration_ = std::move(*view.mutable_declaration());
+  update_evacuations(now, view.evacuations());
   wire::upstream_news update;
   update.mutable_reports()->Swap(view.mutable_upstreams());
   upstreams_.merge(now, update);
@@ -123,13 +124,14 @@
         now - it.last_report < max_report_age)
       *out.add_upstreams() = it.report.to_wire();
   });
+  *out.mutable_evacuations() = evacuations_.content();
   for (const auto& it : notices_.present(now))
     out.add_entry_hosts(it.to_string());
   return out;
 }
 
 control_host::view_position control_host::current_view_position() const {
-  return {committed_declaration().version(), upstreams_.content_position()};
+  return {committed_declaration().version(), upstreams_.content_position(), evacuations_.version()};
 }
 
 const wire::flow_declaration& control_host::committed_declaration() const {
@@ -235,6 +237,7 @@
 wire::news_reply control_host::updates(time_point now, const wire::news_request& request) {
   wire::news_reply out;
   out.set_source(source_);
+  add_evacuations(now, request, out);
   add_upstreams(now, request, out);
   add_declaration(now, request, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
@@ -302,7 +305,8 @@
   const bool can_serve =
       has_quorum(now) || (serves_restored_view(now) && restored_declaration_.version() > 0);
   if (request.quorum_required() && !can_serve) return false;
-  return request.source() != source_ || committed_declaration().version() > request.version() ||
+  return request.source() != source_ || lacks_evacuations(request) ||
+         committed_declaration().version() > request.version() ||
          upstreams_.content_position() > request.position();
 }
 
--- a/libraries/control/control_host_operators.cpp
+++ b/libraries/control/control_host_operators.cpp
@@ -289,7 +289,7 @@
 
 wire::metrics_reply control_host::metrics(time_point now) const {
   wire::metrics_reply out;
-  const std::array<std::pair<const char*, double>, 9> values{{
+  const std::array<std::pair<const char*, double>, 11> values{{
       {"control_term", static_cast<double>(node_.term())},
       {"control_commit_index", static_cast<double>(node_.commit_index())},
       {"control_log_entries",
@@ -298,6 +298,8 @@
       {"control_services", static_cast<double>(state_.service_count())},
       {"control_hosts", static_cast<double>(hosts_.size())},
       {"control_syncs", static_cast<double>(sync_count_)},
+      {"evacuated_zones", static_cast<double>(evacuations_.size())},
+      {"evacuations_version", static_cast<double>(evacuations_.version())},
       {"control_is_leader", node_.role() == raft_role::leader ? 1.0 : 0.0},
       {"control_quorum_age_ms", static_cast<double>(milliseconds_field(node_.quorum_age(now)))},
   }};
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -41,6 +41,9 @@
 flow_host::update_result flow_host::apply(time_point now, const wire::news_reply& reply,
                                           time_point requested) {
   update_result out;
+  // Before the upstreams of the reply become known: no flow may be opened at one of an evacuated
+  // zone. Control hosts send only committed evacuations, so the trust of the reply does not matter.
+  out.zones = router_.apply(now, reply.evacuations());
   if (reply.from_position() == 0) router_.begin_list(reply.source());
   router_.merge_update(now, reply.upstreams(),
                        reply.has_more_upstreams() ? flow_router::update_extent::partial
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -61,6 +61,11 @@
   if (is_last_update_complete_ && resumed_ && requested >= *resumed_) resumed_.reset();
 }
 
+bool flow_router::accepts_flows(const upstream_directory::entry& upstream) const {
+  return upstream.report.condition == upstream_report::state::ready &&
+         !evacuations_.contains(upstream.report.zone);
+}
+
 flow_decision flow_router::open_flow(time_point now, const packet_head& head) {
   if (routes_.version() == 0) return decision_of(action::hold, reason::not_ready);
   if (is_outdated(now)) return decision_of(action::drop, reason::outdated);
@@ -75,9 +80,8 @@
     const auto* current = upstreams_.find(existing->upstream);
     // A duplicate that the network created has the same copy number as its original. Both go
     // to the same upstream.
-    const bool is_ready =
-        current != nullptr && current->report.condition == upstream_report::state::ready;
-    if (head.acknowledged <= existing->opening_copies && is_ready)
+    if (head.acknowledged <= existing->opening_copies && current != nullptr &&
+        accepts_flows(*current))
       return forward(*current, reason::reopened);
     // The caller sent another copy because it got no answer: the upstream is full,
     // unreachable or has crashed.
@@ -130,6 +134,19 @@
   return true;
 }
 
+std::vector<evacuated_zones::change> flow_router::apply(time_point now,
+                                                        const wire::zone_evacuations& evacuations) {
+  auto out = evacuations_.apply(now, evacuations);
+  if (!out.empty() || evacuations.unconfirmed_size() > 0)
+    selector_.index_services(upstreams_, evacuations_);
+  return out;
+}
+
+void flow_router::confirm(std::uint64_t version) {
+  confirmed_version_ = version;
+  if (evacuations_.drop_unconfirmed()) selector_.index_services(upstreams_, evacuations_);
+}
+
 bool flow_router::merge_update(time_point now, const wire::upstream_news& update,
                                update_extent extent) {
   selector_.record_update(now);
@@ -141,7 +158,7 @@
       selector_.record_report(now, upstreams_, report.value().incarnation());
   for (const auto& it : update.refreshed())
     selector_.record_report(now, upstreams_, it.incarnation());
-  if (is_changed) selector_.index_services(upstreams_);
+  if (is_changed) selector_.index_services(upstreams_, evacuations_);
   return is_changed;
 }
 
@@ -165,7 +182,7 @@
   const auto previous_size = upstreams_.size();
   upstreams_.remove_expired(now);
   if (upstreams_.size() == previous_size) return;
-  selector_.index_services(upstreams_);
+  selector_.index_services(upstreams_, evacuations_);
   selector_.remove_expired(upstreams_);
 }
 
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -19,7 +19,8 @@
                                                            std::uint64_t excluded) {
   const auto listed = ready_upstreams_.find(service);
   if (listed == ready_upstreams_.end()) return nullptr;
-  const auto& [local, remote] = listed->second;
+  const auto& [local, remote, has_evacuated] = listed->second;
+  if (has_evacuated) ++kept_away_;
   if (local.size() + remote.size() == 1) excluded = 0;
   std::vector<upstream_candidate> candidates;
   add_candidates(now, known, local, excluded, candidates);
@@ -100,11 +101,16 @@
   zone_health_.record_contact(zone, contact);
 }
 
-void upstream_selector::index_services(const upstream_directory& upstreams) {
+void upstream_selector::index_services(const upstream_directory& upstreams,
+                                       const evacuated_zones& evacuations) {
   ready_upstreams_.clear();
-  upstreams.for_each([this](const auto& it) {
+  upstreams.for_each([&](const auto& it) {
     if (it.report.condition != upstream_report::state::ready) return;
     auto& listed = ready_upstreams_[it.report.service];
+    if (evacuations.contains(it.report.zone)) {
+      listed.has_evacuated = true;
+      return;
+    }
     auto& list = it.report.zone == settings_.zone ? listed.local : listed.remote;
     list.push_back(it.incarnation);
   });
--- a/libraries/replication/control_state.cpp
+++ b/libraries/replication/control_state.cpp
@@ -22,6 +22,8 @@
     return "change members";
   case action_case::kVersion:
     return "apply version";
+  case action_case::kEvacuation:
+    return command.evacuation().active() ? "evacuate zone" : "restore zone";
   case action_case::kRefused:
     return "refused";
   case action_case::ACTION_NOT_SET:
@@ -47,6 +49,11 @@
          std::to_string(drain.target()) + (drain.active() ? " draining" : " not draining");
 }
 
+std::string describe_evacuation(const std::string& zone, bool is_active, std::uint64_t version) {
+  return "zone " + zone + (is_active ? " evacuated" : " not evacuated") +
+         ", evacuations of version " + std::to_string(version);
+}
+
 bool is_same(const wire::service_declaration& a, const wire::service_declaration& b) {
   return a.SerializeAsString() == b.SerializeAsString();
 }
@@ -101,6 +108,9 @@
   case action_case::kVersion:
     change = apply(command.version());
     break;
+  case action_case::kEvacuation:
+    change = apply(command.evacuation());
+    break;
   case action_case::kRefused:
     change.refusal = command.refused();
     break;
@@ -112,7 +122,7 @@
   wire::operation_result result;
   result.set_operation_id(command.operation_id());
   result.set_accepted(change.refusal.empty());
-  result.set_revision(revision_);
+  result.set_revision(command.has_evacuation() ? evacuations_.version() : revision_);
   result.set_cause(change.refusal);
   result.set_stale_base(change.is_stale);
   result.set_content_digest(digest);
@@ -209,6 +219,40 @@
   return change;
 }
 
+// An order that is in force is accepted without effect, because it may have been sent again. One
+// that would change the zone back is refused when the zone has changed since a control host
+// received it: it may be a delayed copy of an order that came before that change.
+control_state::state_change control_state::apply(const wire::evacuation_action& action) {
+  state_change change;
+  auto& zones = *evacuations_.mutable_zones();
+  auto it = std::find_if(zones.begin(), zones.end(),
+                         [&](const auto& entry) { return entry.zone() == action.zone(); });
+  const bool was_active = it != zones.end() && it->active();
+  change.before.push_back(describe_evacuation(action.zone(), was_active, evacuations_.version()));
+  if (was_active != action.active()) {
+    const auto changed = it == zones.end() ? 0 : it->changed_version();
+    if (action.base_version() != changed) {
+      change.refusal = "zone " + action.zone() + " has changed since the order was received";
+      change.is_stale = true;
+    } else {
+      auto& entry = it == zones.end() ? *zones.Add() : *it;
+      evacuations_.set_version(evacuations_.version() + 1);
+      entry.set_zone(action.zone());
+      entry.set_active(action.active());
+      entry.set_changed_version(evacuations_.version());
+    }
+  }
+  const bool is_active = change.is_stale ? was_active : action.active();
+  change.after.push_back(describe_evacuation(action.zone(), is_active, evacuations_.version()));
+  return change;
+}
+
+std::uint64_t control_state::changed_version_of(const std::string& zone) const {
+  for (const auto& it : evacuations_.zones())
+    if (it.zone() == zone) return it.changed_version();
+  return 0;
+}
+
 void control_state::put(const wire::service_declaration& declared, std::uint32_t id,
                         state_change& change) {
   wire::service_entry entry;
@@ -370,6 +414,7 @@
   out.set_next_generation(next_generation_);
   out.set_oldest_delta_base(oldest_delta_base_);
   *out.mutable_flows() = flows_;
+  if (evacuations_.version() > 0) *out.mutable_evacuations() = evacuations_;
   for (const auto& id : result_order_)
     *out.add_results() = results_.at(id);
   for (const auto& it : audit_)
@@ -397,6 +442,7 @@
   for (auto& it : *in.mutable_audit())
     out.audit_.push_back(std::move(it));
   out.flows_ = in.flows();
+  out.evacuations_ = in.evacuations();
   out.last_digest_ = digest_of(out.revision_, out.digest_sum_);
   if (out.digest() != in.configuration().digest())
     return failure(error_kind::corrupted, "snapshot", "digest of its configuration differs");
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -129,6 +129,19 @@
     return grpc::Status::OK;
   }
 
+  grpc::Status Evacuate(grpc::ServerContext* /*context*/, const wire::evacuation_request* request,
+                        wire::apply_reply* reply) override {
+    *reply = flows_.evacuate(*request);
+    return grpc::Status::OK;
+  }
+
+  grpc::Status Zones(grpc::ServerContext* /*context*/, const wire::zones_request* /*request*/,
+                     wire::zones_reply* reply) override {
+    const std::lock_guard lock(shared_.mutex);
+    *reply = shared_.host.zones();
+    return grpc::Status::OK;
+  }
+
   grpc::Status ChangeMembers(grpc::ServerContext* /*context*/, const wire::members_request* request,
                              wire::members_reply* reply) override {
     *reply = run<wire::members_reply>(
--- a/services/controld/flow_control_declarations.cpp
+++ b/services/controld/flow_control_declarations.cpp
@@ -19,6 +19,8 @@
     return "done";
   case flow_operations::outcome::invalid:
     return "invalid";
+  case flow_operations::outcome::not_found:
+    return "not_found";
   case flow_operations::outcome::unconfirmed:
     return "unsure";
   }
--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -76,6 +76,7 @@
 }
 
 void flow_control_service::on_progress() {
+  log_zone_changes();
   const auto version = shared_.host.flows().declaration().version();
   if (version == announced_version_) return;
   announced_version_ = version;
--- a/services/controld/flow_control_service.h
+++ b/services/controld/flow_control_service.h
@@ -9,11 +9,13 @@
 #include "zinniarelay/observe/metric_registry.h"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -57,9 +59,13 @@
 
   answer apply_version(const wire::versioned_declaration& proposed) override;
   std::optional<std::string> read_document() override;
+  answer order_zone(const std::string& zone, zone_order order) override;
   answer report(const upstream_report& value) override;
   std::optional<upstream_report> find_upstream(const std::string& id) override;
 
+  /// Executes an order here, or at the leader unless another control host has forwarded it.
+  wire::apply_reply evacuate(wire::evacuation_request request);
+
   grpc::ServerUnaryReactor* News(grpc::CallbackServerContext* context,
                                  const wire::news_request* request,
                                  wire::news_reply* reply) override;
@@ -82,6 +88,12 @@
   std::shared_ptr<stub> stub_of(const std::string& address);
   void remove_stub(const std::string& address);
   wire::version_reply apply_locally(const wire::version_request& request);
+  /// Returns no value when the host does not reply or is not the leader.
+  static std::optional<wire::apply_reply> forward(const std::string& leader,
+                                                  const wire::evacuation_request& request,
+                                                  std::chrono::steady_clock::time_point until);
+  /// Logs the zones evacuated and restored. Called with the shared mutex held.
+  void log_zone_changes();
   wire::read_reply read_locally();
   /// Returns the index that this host must have applied to include all acknowledged entries. The
   /// reply is not confirmed when no leader with a quorum replies in time.
@@ -115,6 +127,7 @@
   std::unique_ptr<view_writer> view_writer_;
   std::vector<std::thread> workers_;
   std::uint64_t announced_version_ = 0;
+  std::uint64_t zone_orders_ = 0; ///< received without an operation identifier
   metric_registry metrics_;
   distribution& reply_bytes_; ///< sizes of the replies to entry hosts
 };
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -40,6 +40,7 @@
   out.cluster = settings.cluster();
   for (const auto& it : settings.founding_members())
     out.founders.push_back(member_of(it.id, it.address, it.zone));
+  out.zones = settings.zones();
   if (settings.group()) {
     out.group.emplace();
     out.group->tolerated_losses = settings.group()->tolerated_losses;
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -158,7 +158,9 @@
     const auto applied = host_.apply(now, reply, requested);
     if (applied.is_declaration_new) log_declaration(reply);
     if (applied.refusal) log_warning("declaration_change_refused").with(*applied.refusal);
+    log_zones(applied.zones);
     updates_->set_version(host_.requested_version());
+    updates_->set_evacuations_version(host_.evacuations_version());
   }
   if (!updates.empty()) release_held_packets(now);
   if (host_.is_ready() == is_ready_) return;
@@ -177,6 +179,13 @@
       .with("quorum_age_ms", reply.quorum_age_ms());
 }
 
+void flow_daemon::log_zones(const std::vector<evacuated_zones::change>& changes) {
+  for (const auto& it : changes)
+    log_info(name_of(it.type))
+        .with("changed_zone", it.zone)
+        .with("version", host_.evacuations_version());
+}
+
 void flow_daemon::handle_packets(time_point now, std::size_t count) {
   for (std::size_t n = 0; n < count; ++n) {
     const auto head = platform::decode_head(socket_->received(n));
@@ -255,7 +264,8 @@
       .with("in_force_ms", elapsed_ms(host_.in_force_since(), now))
       .with("update_age_ms", elapsed_ms(host_.last_update(), now))
       .with("upstreams", host_.router().upstreams().size())
-      .with("open_flows", host_.router().flows().size());
+      .with("open_flows", host_.router().flows().size())
+      .with("evacuations_version", host_.evacuations_version());
 }
 
 void flow_daemon::publish(time_point now) {
@@ -274,6 +284,11 @@
   metrics_.gauge_of("upstreams").set(static_cast<double>(host_.router().upstreams().size()));
   metrics_.gauge_of("declaration_version")
       .set(static_cast<double>(host_.router().routes().version()));
+  const auto& evacuations = host_.router().evacuations();
+  metrics_.gauge_of("evacuated_zones").set(static_cast<double>(evacuations.size()));
+  metrics_.gauge_of("evacuations_version").set(static_cast<double>(evacuations.version()));
+  metrics_.gauge_of("openings_kept_away")
+      .set(static_cast<double>(host_.router().openings_kept_away()));
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -48,6 +48,7 @@
   void detect_suspension(time_point now);
   void apply_updates(time_point now);
   void log_declaration(const wire::news_reply& reply);
+  void log_zones(const std::vector<evacuated_zones::change>& changes);
   void handle_packets(time_point now, std::size_t count);
   /// `bytes` is the packet, preceded by the headroom of packet_socket. It stays valid until
   /// flush().
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -94,6 +94,7 @@
   out.set_host(self_.host);
   out.set_zone(self_.zone);
   out.set_version(version_);
+  out.set_evacuations_version(evacuations_version_);
   out.set_accepts_changes(true);
   out.set_accepts_parts(true);
   out.set_overdue_after_ms(static_cast<std::uint32_t>(self_.report_timeout.count()));
@@ -259,6 +260,7 @@
   // The next request does not wait until the owner has put the declaration in force.
   if (!is_stale && reply.has_declaration()) version_ = reply.declaration().version();
   if (!is_stale && reply.has_change()) version_ = reply.change().version();
+  if (!is_stale && reply.has_evacuations()) evacuations_version_ = reply.evacuations().version();
   const std::lock_guard lock(mutex_);
   if (!is_stale && hosts_.record_success(address))
     log_info("control_host_regained").with("control_host", address);
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -56,6 +56,8 @@
   void request_immediate_reply() { is_immediate_reply_required_ = true; }
   /// Sets the version of the declaration in force, which the next request names.
   void set_version(std::uint64_t version) { version_ = version; }
+  /// Sets the version of the evacuations in force, which the next request names.
+  void set_evacuations_version(std::uint64_t version) { evacuations_version_ = version; }
 
 private:
   struct received_position {
@@ -135,6 +137,7 @@
   std::vector<std::string> started_;             ///< control hosts, since the last take
   bool is_stopping_ = false;
   std::atomic<std::uint64_t> version_{0};
+  std::atomic<std::uint64_t> evacuations_version_{0};
   std::atomic<bool> is_immediate_reply_required_{false};
   std::thread worker_;
 };
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -188,4 +188,15 @@
   BOOST_TEST(translated.value().address().to_string() == "127.0.0.1:9001");
 }
 
+// Guards against an operator who cannot evacuate a zone because its name is lost in the settings.
+BOOST_AUTO_TEST_CASE(names_of_zones_are_read_and_checked) {
+  const std::string base = valid_control;
+  BOOST_TEST((load<control_settings>(base + "zones: [\"a\",\"b\"]\n").value().zones() ==
+              strings{"a", "b"}));
+  BOOST_TEST(load<control_settings>(base + "zones: []\n").value().zones().empty());
+  BOOST_TEST(load<control_settings>(base).value().zones().empty());
+  BOOST_TEST(faults_of<control_settings>(base + "zones: [a, a]\n").size() == 1U);
+  BOOST_TEST(faults_of<control_settings>(base + "zones: [{x: 1}, \"\"]\n").size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libraries/platform/hostile_input_test.cpp
+++ b/tests/libraries/platform/hostile_input_test.cpp
@@ -30,6 +30,9 @@
     BOOST_TEST_REQUIRE(value.declaration().version() > 0U);
     return {outcome::done, ""};
   }
+  answer order_zone(const std::string& /*zone*/, zone_order /*order*/) override {
+    return {outcome::done, ""};
+  }
   std::optional<std::string> read_document() override { return "{}"; }
   answer report(const upstream_report& value) override {
     const bool is_gone = value.condition == upstream_report::state::gone;
--- a/tests/libraries/platform/odd_reports_test.cpp
+++ b/tests/libraries/platform/odd_reports_test.cpp
@@ -16,6 +16,9 @@
   answer apply_version(const wire::versioned_declaration& /*value*/) override {
     return {outcome::done, ""};
   }
+  answer order_zone(const std::string& /*zone*/, zone_order /*order*/) override {
+    return {outcome::done, ""};
+  }
   std::optional<std::string> read_document() override { return "{}"; }
   answer report(const upstream_report& value) override {
     group.host(1).merge_report(group.now, value);
--- a/tests/libraries/platform/operator_api_test.cpp
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -33,6 +33,10 @@
     proposed = value;
     return next_answer;
   }
+  answer order_zone(const std::string& zone, zone_order order) override {
+    zone_orders.emplace_back(zone, order);
+    return next_answer;
+  }
   std::optional<std::string> read_document() override { return document; }
   answer report(const upstream_report& value) override {
     reported = value;
@@ -44,6 +48,7 @@
 
   answer next_answer{outcome::done, ""};
   wire::versioned_declaration proposed;
+  std::vector<std::pair<std::string, zone_order>> zone_orders;
   std::optional<std::string> document;
   std::optional<upstream_report> reported;
   std::optional<upstream_report> existing;
@@ -180,6 +185,30 @@
   BOOST_TEST(operations.reported->incarnation() != operations.existing->incarnation());
 }
 
+// Guards against an order that is acknowledged for another zone or for none.
+BOOST_AUTO_TEST_CASE(orders_of_zones_are_decoded_from_the_path) {
+  using order = flow_operations::zone_order;
+  BOOST_TEST(post("/api/evacuations/zone-1/start", "") == 200);
+  BOOST_TEST(post(platform::restore_path("zone-2"), "") == 200);
+  const std::vector<std::pair<std::string, order>> expected{{"zone-1", order::evacuate},
+                                                            {"zone-2", order::restore}};
+  BOOST_TEST((operations.zone_orders == expected));
+  for (const auto* path : {"/api/evacuations//start", "/api/evacuations/a", "/api/evacuations/a/b",
+                           "/api/evacuations/a/b/start", "/api/evacuations/start"})
+    BOOST_TEST(post(path, "") == 404);
+  BOOST_TEST(api.handle({"GET", "/api/evacuations/a/start", ""}).status == 404);
+  BOOST_TEST(operations.zone_orders.size() == 2U);
+}
+
+// Guards against an operator who takes the refusal of an unknown zone for an outage, or an order
+// that may not be in force for an acknowledged one.
+BOOST_AUTO_TEST_CASE(outcome_of_an_order_determines_http_status) {
+  operations.next_answer = {flow_operations::outcome::not_found, "zone x is not known"};
+  BOOST_TEST(post(platform::evacuate_path("x"), "") == 404);
+  operations.next_answer = {flow_operations::outcome::unconfirmed, "changed"};
+  BOOST_TEST(post(platform::evacuate_path("x"), "") == 503);
+}
+
 // Guards against a success status for an unknown path.
 BOOST_AUTO_TEST_CASE(unknown_path_is_not_found) {
   BOOST_TEST(post("/api/instances//heartbeat", report) == 404);
