flow, control, daemons: warm-up limits by leases and tokens

Cause: an upstream that has just started gets flows from all entry hosts. Change: warmup_tokens at entry hosts, warmup_leases at the leader and at control hosts, limits in declarations and their changes, cold upstreams in upstream_directory, GrantWarmup between control hosts.

--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -4,6 +4,7 @@
 #include "operator.pb.h"
 #include "zinniarelay/control/group_policy.h"
 #include "zinniarelay/control/start_notices.h"
+#include "zinniarelay/control/warmup_leases.h"
 #include "zinniarelay/core/encoded_contents.h"
 #include "zinniarelay/core/identifiers.h"
 #include "zinniarelay/core/random.h"
@@ -20,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -148,8 +150,10 @@
   /// Returns the addresses of all members, those in the preferred zone first.
   std::vector<std::string> member_addresses(std::uint32_t preferred_zone) const;
 
-  /// Merges a report that an upstream sent to this host.
-  upstream_directory::merge_result merge_report(time_point now, const upstream_report& value);
+  /// Merges a report that an upstream sent to this host; `wall_ms` is the Unix time, from which the
+  /// warm-up of an upstream that states none is computed. 0: it is unknown.
+  upstream_directory::merge_result merge_report(time_point now, const upstream_report& value,
+                                                std::uint64_t wall_ms = 0);
   const upstream_directory& upstreams() const { return upstreams_; }
   /// The entry hosts that get a notice when this host starts; saved with the view.
   start_notices& notices() { return notices_; }
@@ -163,11 +167,35 @@
   /// Returns the first upstreams to replicate, of all or of the changes since a position, in a
   /// request of bounded size.
   replication replication_since(std::uint64_t position, bool is_complete) const;
-  /// Returns the updates that an entry host does not have yet.
-  wire::news_reply updates(time_point now, const wire::news_request& request);
+  /// Returns the updates that an entry host does not have yet; `received` is when its request
+  /// arrived.
+  wire::news_reply updates(time_point now, const wire::news_request& request, time_point received);
+  wire::news_reply updates(time_point now, const wire::news_request& request) {
+    return updates(now, request, now);
+  }
   /// Returns true when the reply to an entry host must not be delayed: it lacks a change of
   /// content, or all updates of this process. A request that requires a quorum waits for one.
   bool has_urgent_update(time_point now, const wire::news_request& request) const;
+  /// Grants warm-up leases as the leader, once a quorum has confirmed a read that began after the
+  /// request arrived. Otherwise the reply has no grants.
+  wire::grant_reply grant_warmup(time_point now, const read_ticket& pending,
+                                 const wire::grant_request& request);
+  /// Returns the request for warm-up leases if this host has to send one to the leader.
+  std::optional<wire::grant_request> warmup_request_due(time_point now);
+  /// Records the reply to a request for warm-up leases; `requested` is when the request was sent.
+  void record_warmup_grants(time_point requested, const wire::grant_reply& reply);
+  /// Makes the upstreams of a zone cold from now on for the warm-up of their services; to be called
+  /// when the evacuation of the zone has ended.
+  void count_zone_as_cold(time_point now, const std::string& zone);
+  struct warmup_status {
+    std::size_t cold_upstreams = 0;
+    std::size_t entry_leases = 0;   ///< granted to entry hosts
+    std::size_t control_leases = 0; ///< granted to control hosts, as the leader
+    std::uint64_t granted = 0;      ///< grants and renewals, as the leader
+    std::uint64_t refused = 0;      ///< requests for an upstream that another host holds
+  };
+  warmup_status warmup(time_point now) const;
+
   /// Returns a random number that distinguishes this process from an earlier one at the same
   /// address.
   std::uint64_t source() const { return source_; }
@@ -224,6 +252,15 @@
   void add_liveness(time_point now, const wire::news_request& request, wire::news_reply& reply);
   /// Adds the committed declaration, as a part or a change where the entry host accepts one.
   void add_declaration(time_point now, const wire::news_request& request, wire::news_reply& reply);
+  /// Puts the warm-up limits of the committed declaration in force.
+  void follow_limits();
+  void maintain_warmup(time_point now);
+  /// Begins the wait of a new leader before its first grant.
+  void observe_leadership(time_point now);
+  /// Adds the warm-up leases of an entry host.
+  void add_warmup_grants(time_point now, const wire::news_request& request, time_point received,
+                         wire::news_reply& reply);
+  bool has_new_grant(const wire::news_request& request) const;
   bool has_quorum(time_point now) const;
   /// Whether this host serves its restored view until its first contact with a quorum.
   bool serves_restored_view(time_point now) const;
@@ -265,6 +302,23 @@
   } liveness_; ///< in the last replies
   std::optional<time_point> last_tick_;
   std::optional<time_point> resumed_; ///< end of the last suspension
+  struct own_lease {
+    double rate = 0;
+    time_point expires;
+  };
+  std::uint64_t limits_version_ = 0;   ///< of the declaration whose warm-up limits are in force
+  std::uint64_t granting_term_ = 0;    ///< the last term in which this host was the leader
+  time_point granting_from_;           ///< when its first grant in this term is permitted
+  warmup_leases control_leases_;       ///< granted to control hosts, as the leader
+  std::map<std::uint64_t, own_lease> own_leases_; ///< granted to this host, by incarnation
+  warmup_leases entry_leases_;                    ///< granted to entry hosts
+  std::set<std::uint64_t> eligible_entry_hosts_;  ///< that could get another lease now
+  std::set<std::uint64_t> last_requested_;        ///< incarnations
+  time_point next_warmup_request_;
+  struct {
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+  } warmup_counts_;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/flow/declaration_history.h
+++ b/include/zinniarelay/flow/declaration_history.h
@@ -8,14 +8,15 @@
 
 namespace zinnia {
 
-/// Returns a digest of the routes and the idle timeout of a declaration, independent of their
-/// order.
+/// Returns a digest of the routes, the idle timeout and the warm-up limits of a declaration,
+/// independent of their order. Without limits it is the same as that of earlier releases.
 std::uint64_t digest_of(const wire::flow_declaration& declaration);
 /// Returns the part of a digest for one route. The digest is the sum of its parts.
 std::uint64_t digest_of(const wire::flow_route& route);
 std::uint64_t digest_of_idle_timeout(std::uint32_t idle_timeout_ms);
 
-/// Returns the routes by which a declaration differs from an earlier one.
+/// Returns the routes by which a declaration differs from an earlier one, and all services with a
+/// warm-up limit.
 wire::flow_declaration_change change_between(const wire::flow_declaration& base,
                                              const wire::flow_declaration& next);
 
--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -42,6 +42,17 @@
   /// Removes and returns the held packets. The owner calls handle() for each of them with the time
   /// of its arrival, so that a packet which still has to wait does so for the rest of its time.
   std::vector<held_packets::packet> take_held(time_point now) { return held_.take(now); }
+  /// Returns true when a held packet may get the token of a cold upstream.
+  bool may_release_held() const {
+    return held_.size() > 0 && router_.selector().tokens().has_any_token();
+  }
+  /// Returns true when the next request asks for warm-up grants.
+  bool wants_grants(time_point now) const;
+  /// Makes the upstreams of a zone cold from now on for the warm-up of their services; to be called
+  /// when the evacuation of the zone has ended.
+  void count_zone_as_cold(time_point now, const std::string& zone) {
+    router_.count_zone_as_cold(now, zone);
+  }
 
   /// What an update changed.
   struct update_result {
@@ -75,6 +86,8 @@
   time_point in_force_since() const { return in_force_since_; }
 
 private:
+  /// Returns true when enough packets wait for tokens already.
+  bool is_waiting_in_vain() const;
   void apply_declaration(time_point now, const wire::news_reply& reply, update_result& out);
   void apply_change(const wire::flow_declaration_change& change, update_result& out);
 
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -43,8 +43,9 @@
     not_a_caller, ///< a packet that only upstreams send
     not_ready,    ///< no declaration or upstreams yet, or no such route in an unconfirmed one
     outdated,     ///< no update since a suspension of the process
+    cold,         ///< no token for a cold upstream
   };
-  static constexpr std::size_t reason_count = 10;
+  static constexpr std::size_t reason_count = 11;
 
   action_type action = action_type::drop;
   reason_type reason = reason_type::not_ready;
@@ -69,10 +70,19 @@
   /// Decides on a packet that arrived from a caller, and counts the decision by its reason.
   flow_decision route(time_point now, const packet_head& head);
 
+  /// Records the warm-up grants of a reply; `requested` is when the request was sent.
+  void record_grants(time_point requested, const wire::news_reply& reply);
+  /// Records whether an update is from a restored view, whose upstreams may be earlier incarnations.
+  void record_origin(time_point now, const wire::news_reply& reply);
+  /// Makes the upstreams of a zone cold from now on for the warm-up of their services.
+  void count_zone_as_cold(time_point now, const std::string& zone) {
+    upstreams_.count_zone_as_cold(now, zone);
+  }
+
   /// Puts a declaration in force. Returns false and changes nothing when it is not newer.
   bool apply(const wire::flow_declaration& declaration);
   /// Puts a change of the declaration in force. Fails and changes nothing as route_table::apply().
-  result<void> apply(const wire::flow_declaration_change& change) { return routes_.apply(change); }
+  result<void> apply(const wire::flow_declaration_change& change);
   /// Records that a control host in contact with a quorum knows of no newer declaration than this
   /// version. From the time that it is in force, a route that it does not have does not exist.
   void confirm(std::uint64_t version = 0) { confirmed_version_ = version; }
@@ -92,7 +102,10 @@
   /// Returns true when all upstreams of a control host are known, and there are any.
   bool has_upstreams() const { return is_list_complete_ && upstreams_.size() > 0; }
   /// Records that the process did not run until now: upstreams may have left meanwhile.
-  void record_suspension(time_point now) { resumed_ = now; }
+  void record_suspension(time_point now) {
+    resumed_ = now;
+    selector_.begin_uncertainty();
+  }
   /// Records that the last merged update was requested at this time.
   void record_update_request(time_point requested);
   /// Removes idle flows and expired upstreams, at most every 100 ms.
@@ -101,6 +114,7 @@
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
   const flow_table& flows() const { return flows_; }
+  const upstream_selector& selector() const { return selector_; }
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
 private:
@@ -124,6 +138,8 @@
   std::uint64_t list_source_ = 0; ///< process whose list of upstreams was merged last
   bool is_last_update_complete_ = false;
   std::optional<std::uint64_t> confirmed_version_;
+  bool is_view_restored_ = false;  ///< and no other update has arrived since
+  time_point restored_view_ended_; ///< end of the uncertainty about a restored view
   std::optional<time_point> resumed_; ///< end of a suspension; unset after an update since then
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
--- a/include/zinniarelay/flow/route_table.h
+++ b/include/zinniarelay/flow/route_table.h
@@ -5,6 +5,7 @@
 #include "zinniarelay/core/error.h"
 #include "zinniarelay/core/result.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/warmup_limit.h"
 
 #include <cstdint>
 #include <string>
@@ -46,12 +47,15 @@
   explicit route_table(const wire::flow_declaration& declaration);
 
   /// Applies a change of the declaration. Fails with error_kind::conflict and changes nothing when
-  /// the change is based on another version, or when the result would differ from the sender's.
+  /// the change is based on another version, or when the result would differ from the sender's. A
+  /// change without limits for a table with limits fails too: control hosts of releases that do not
+  /// know the limits send such changes, and a complete declaration has them.
   result<void> apply(const wire::flow_declaration_change& change);
 
   std::uint64_t version() const { return version_; }
   milliseconds idle_timeout() const { return idle_timeout_; }
   std::size_t size() const { return routes_.size(); }
+  const warmup_limits& limits() const { return limits_; }
   /// Returns null when no route has this address.
   const route* find(const endpoint& address) const;
 
@@ -69,6 +73,7 @@
   milliseconds idle_timeout_{0};
   std::uint64_t digest_ = 0; ///< of all routes, without the idle timeout
   std::unordered_map<endpoint, entry> routes_;
+  warmup_limits limits_;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/flow/upstream_directory.h
+++ b/include/zinniarelay/flow/upstream_directory.h
@@ -3,11 +3,13 @@
 #include "flow.pb.h"
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/upstream_report.h"
+#include "zinniarelay/flow/warmup_limit.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +33,11 @@
     time_point last_report; ///< when its latest report arrived here
     time_point warmup_end;  ///< when its warm-up ends
     time_point last_state_change;
+    bool has_warmup = false; ///< its warm-up has been stated or is known from its age
+    time_point first_report; ///< when its first report arrived here
+    /// Age at its first report, by the clocks of both; set when that report came from the upstream
+    /// and stated no warm-up.
+    std::optional<milliseconds> unstated_age;
     std::uint64_t content_position = 0; ///< position of the last change of content
     std::uint64_t refresh_position = 0; ///< position of the last report
     bool is_direct = false; ///< the last report came from the upstream, not from another host
@@ -47,14 +54,32 @@
 
   explicit upstream_directory(milliseconds retention = default_retention) : retention_(retention) {}
 
-  /// Merges a report.
-  merge_result merge(time_point now, const upstream_report& report, origin from);
+  /// Merges a report; `age` is the time since the start of the upstream by the clocks of both, which
+  /// the receiver of a report from the upstream knows.
+  merge_result merge(time_point now, const upstream_report& report, origin from,
+                     std::optional<milliseconds> age = std::nullopt);
   /// Merges a refresh from another host: the sequence of a later report with the same content.
   /// Ignored when the incarnation is unknown.
   merge_result merge(time_point now, std::uint64_t incarnation, std::uint64_t sequence);
   /// Merges an update from another host. Returns true when some content changed.
   bool merge(time_point now, const wire::upstream_news& update);
 
+  /// Replaces the warm-up limits of services (docs/design.md R44).
+  void set_limits(const warmup_limits& limits);
+  bool has_limits() const { return !limits_.empty(); }
+  /// Returns null for a service without a limit.
+  const warmup_limit* limit_of(const std::string& service) const;
+  /// Returns true while an upstream of a service with a limit is cold.
+  bool is_cold(time_point now, const entry& upstream) const;
+  /// Returns the incarnations of services with a limit that are cold, also those that other hosts
+  /// may still count as cold.
+  std::vector<std::uint64_t> cold_upstreams() const { return {cold_.begin(), cold_.end()}; }
+  std::size_t cold_count(time_point now) const;
+  /// Makes the upstreams of a zone cold from now on for the warm-up of their services.
+  void count_zone_as_cold(time_point now, const std::string& zone);
+  /// Follows the remaining warm-up of cold upstreams, which is what other hosts get.
+  void refresh_warmups(time_point now);
+
   /// Begins a list of all upstreams of another host; the reports merged from now on belong to it.
   void begin_list() { ++list_; }
   /// Records which upstreams of the last list have reported to the other host. Those that are
@@ -108,7 +133,14 @@
   void for_each(const std::function<void(const entry&)>& visit) const;
 
 private:
-  merge_result add(time_point now, const upstream_report& report, origin from);
+  merge_result add(time_point now, const upstream_report& report, origin from,
+                   std::optional<milliseconds> age);
+  /// Returns true when a report of a known upstream extends its warm-up.
+  bool extends_warmup(time_point now, const entry& known, const upstream_report& report) const;
+  /// Records the warm-up that a merged report states.
+  void record_warmup(time_point now, entry& reported, milliseconds stated);
+  /// Returns the end of the warm-up of an upstream that does not state one.
+  std::optional<time_point> unstated_warmup_end(const entry& reported) const;
   /// `existing` is the incarnation with the same id or address; null when there is none.
   void resolve_conflict(time_point now, entry& added, const std::uint64_t* existing);
   void mark_gone(time_point now, entry& ended);
@@ -119,6 +151,9 @@
   void record_change(entry& changed);
 
   milliseconds retention_;
+  warmup_limits limits_;
+  /// Cold upstreams of services with a limit, for some time beyond the end of their warm-up.
+  std::set<std::uint64_t> cold_;
   std::uint64_t position_ = 0;
   std::uint64_t content_position_ = 0;
   std::uint64_t list_ = 0;
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -5,6 +5,7 @@
 #include "zinniarelay/flow/flow_table.h"
 #include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
+#include "zinniarelay/flow/warmup_tokens.h"
 #include "zinniarelay/flow/zone_health.h"
 
 #include <map>
@@ -37,11 +38,28 @@
     const flow_table& flows;
   };
 
-  /// Returns the upstream for a new flow; null when none is ready. The excluded upstream is
-  /// chosen only if it is the only one.
+  /// Returns the upstream for a new flow; null when none is ready, or when all that are lack a token
+  /// (lacks_token()). The excluded upstream is chosen only if it is the only one.
   const upstream_directory::entry* select(time_point now, const view& known,
                                           const std::string& service, std::uint64_t excluded);
 
+  /// Returns true when the last call of select() found upstreams without a token.
+  bool lacks_token() const { return lacks_token_; }
+  /// Takes the token that a copy of an opening packet needs for its upstream. Returns false when
+  /// there is none.
+  bool permit_copy(time_point now, const view& known, const upstream_directory::entry& upstream);
+  /// Returns true when a control host may send a token in time.
+  bool may_get_token(time_point now) const;
+  /// Records that an opening packet for a service with a warm-up limit arrived.
+  void record_demand(time_point now) { last_demand_ = now; }
+  bool has_demand(time_point now) const;
+  /// Records that upstreams may have restarted unnoticed; until end_uncertainty(), those of services
+  /// with a limit need a token.
+  void begin_uncertainty() { certain_from_ = time_point::max(); }
+  void end_uncertainty(time_point from) { certain_from_ = std::min(certain_from_, from); }
+  warmup_tokens& tokens() { return tokens_; }
+  const warmup_tokens& tokens() const { return tokens_; }
+
   /// Records that a caller has an answer of an upstream.
   void record_answer(time_point now, const upstream_directory::entry& upstream);
   /// Records that a caller repeated an opening packet that an upstream did not answer.
@@ -51,7 +69,10 @@
   /// Records when an upstream of the zone last sent a report.
   void record_zone_contact(const std::string& zone, time_point contact);
   /// Records that an update of a control host arrived.
-  void record_update(time_point now) { last_update_ = now; }
+  void record_update(time_point now) {
+    last_update_ = now;
+    tokens_.advance(now);
+  }
 
   /// Follows changes of the directory's content.
   void index_services(const upstream_directory& upstreams);
@@ -77,6 +98,8 @@
   upstream_candidate candidate_of(time_point now, const view& known,
                                   const upstream_directory::entry& upstream) const;
   bool is_suspect(time_point now, const upstream_directory::entry& upstream) const;
+  /// Returns true when an opening packet for the upstream needs a token.
+  bool needs_token(const view& known, const upstream_directory::entry& upstream) const;
 
   upstream_selector_settings settings_;
   random_engine engine_;
@@ -84,6 +107,10 @@
   zone_health zone_health_;
   std::map<std::string, ready_upstreams> ready_upstreams_; ///< by service
   std::optional<time_point> last_update_;
+  warmup_tokens tokens_;
+  bool lacks_token_ = false;
+  time_point certain_from_; ///< end of the uncertainty
+  std::optional<time_point> last_demand_;
 };
 
 } // namespace zinnia
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -98,6 +98,9 @@
   opened.notices_ = std::move(notices_);
   opened.last_tick_ = last_tick_;
   opened.resumed_ = resumed_;
+  // Entry hosts still hold the leases that this process granted.
+  opened.own_leases_ = std::move(own_leases_);
+  opened.entry_leases_ = std::move(entry_leases_);
   *this = std::move(opened);
   return success();
 }
@@ -116,6 +119,7 @@
   expire_hosts(now);
   upstreams_.remove_expired(now);
   maintain_group(now);
+  maintain_warmup(now);
 }
 
 void control_host::receive(time_point now, wire::raft_message message) {
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -208,12 +208,19 @@
 // Upstreams.
 
 upstream_directory::merge_result control_host::merge_report(time_point now,
-                                                            const upstream_report& value) {
-  return upstreams_.merge(now, value, upstream_directory::origin::upstream);
+                                                            const upstream_report& value,
+                                                            std::uint64_t wall_ms) {
+  follow_limits();
+  std::optional<milliseconds> age;
+  if (wall_ms != 0)
+    age = milliseconds(static_cast<std::int64_t>(wall_ms) -
+                       static_cast<std::int64_t>(value.started_ms));
+  return upstreams_.merge(now, value, upstream_directory::origin::upstream, age);
 }
 
 wire::spread_reply control_host::merge_replicated(time_point now,
                                                   const wire::spread_request& request) {
+  follow_limits();
   upstreams_.merge(now, request.upstreams());
   wire::spread_reply out;
   out.set_source(source_);
@@ -232,11 +239,13 @@
   return out;
 }
 
-wire::news_reply control_host::updates(time_point now, const wire::news_request& request) {
+wire::news_reply control_host::updates(time_point now, const wire::news_request& request,
+                                       time_point received) {
   wire::news_reply out;
   out.set_source(source_);
   add_upstreams(now, request, out);
   add_declaration(now, request, out);
+  add_warmup_grants(now, request, received, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
   for (auto& it : member_addresses(request.zone()))
@@ -303,7 +312,7 @@
       has_quorum(now) || (serves_restored_view(now) && restored_declaration_.version() > 0);
   if (request.quorum_required() && !can_serve) return false;
   return request.source() != source_ || committed_declaration().version() > request.version() ||
-         upstreams_.content_position() > request.position();
+         upstreams_.content_position() > request.position() || has_new_grant(request);
 }
 
 } // namespace zinnia
--- a/libraries/flow/declaration_history.cpp
+++ b/libraries/flow/declaration_history.cpp
@@ -1,5 +1,7 @@
 #include "zinniarelay/flow/declaration_history.h"
 
+#include "zinniarelay/flow/warmup_limit.h"
+
 #include <algorithm>
 #include <unordered_map>
 #include <xxhash.h>
@@ -29,7 +31,7 @@
   auto out = digest_of_idle_timeout(declaration.idle_timeout_ms());
   for (const auto& it : declaration.routes())
     out += digest_of(it);
-  return out;
+  return out + digest_of(warmup_limits_of(declaration.services()));
 }
 
 wire::flow_declaration_change change_between(const wire::flow_declaration& base,
@@ -39,6 +41,8 @@
   out.set_version(next.version());
   out.set_idle_timeout_ms(next.idle_timeout_ms());
   out.set_digest(digest_of(next));
+  for (const auto& it : next.services())
+    if (it.warmup_rate() > 0) *out.add_services() = it;
   std::unordered_map<std::uint64_t, std::string> former;
   for (const auto& it : base.routes())
     former[key_of(it)] = it.SerializeAsString();
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -10,6 +10,10 @@
 // The owner's loop runs at least every 50 ms. After a longer gap the process was suspended or
 // stopped, and its view of upstreams may be outdated.
 constexpr milliseconds min_suspension{1'000};
+// Packets that may wait for tokens: as many as the leases of this host permit within the time for
+// which a packet is held, or this many without a lease.
+constexpr double max_token_wait_s = 0.8;
+constexpr std::size_t max_waiting_without_lease = 32;
 
 } // namespace
 
@@ -33,11 +37,25 @@
 flow_decision flow_host::handle(time_point now, const packet_head& head,
                                 std::span<const std::byte> bytes) {
   last_packet_ = std::max(last_packet_, now);
-  const auto out = router_.route(now, head);
+  auto out = router_.route(now, head);
+  if (out.action == flow_decision::action_type::hold &&
+      out.reason == flow_decision::reason_type::cold && is_waiting_in_vain())
+    out.action = flow_decision::action_type::reset;
   if (out.action == flow_decision::action_type::hold) held_.add(now, head, bytes);
   return out;
 }
 
+bool flow_host::is_waiting_in_vain() const {
+  const auto rate = router_.selector().tokens().granted_rate();
+  if (rate <= 0) return held_.size() >= max_waiting_without_lease;
+  return static_cast<double>(held_.size()) >= 1 + rate * max_token_wait_s;
+}
+
+bool flow_host::wants_grants(time_point now) const {
+  return !readiness_.is_stopping() && router_.upstreams().has_limits() &&
+         router_.selector().has_demand(now);
+}
+
 flow_host::update_result flow_host::apply(time_point now, const wire::news_reply& reply,
                                           time_point requested) {
   update_result out;
@@ -47,6 +65,8 @@
                                                   : flow_router::update_extent::complete);
   if (reply.has_liveness()) router_.record_liveness(now, reply.source(), reply.liveness());
   apply_declaration(now, reply, out);
+  router_.record_origin(now, reply);
+  router_.record_grants(requested, reply);
   if (trust_of(reply) == declaration_trust::confirmed) router_.confirm(reply.declaration_version());
   router_.record_update_request(requested);
   last_update_ = now;
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -14,6 +14,9 @@
 // has most likely ended or is idle, and does not count as load.
 constexpr milliseconds idle_flow_timeout{1'000};
 constexpr milliseconds expiry_period{100};
+// After a start from a restored view, upstreams have reported to a control host and control hosts
+// have replicated this within this time of the first reply that is not restored.
+constexpr milliseconds restored_uncertainty{1'000};
 
 /// Returns a decision that forwards nothing.
 flow_decision decision_of(action action, reason reason) {
@@ -28,7 +31,7 @@
 const char* name_of(flow_decision::reason_type reason) {
   constexpr std::array<const char*, flow_decision::reason_count> names{
       "opened",      "reopened",    "moved",        "routed",    "no_route",
-      "no_upstream", "unknown_tag", "not_a_caller", "not_ready", "outdated"};
+      "no_upstream", "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -58,7 +61,10 @@
 
 // An update that leaves out upstreams may leave out one that has left.
 void flow_router::record_update_request(time_point requested) {
-  if (is_last_update_complete_ && resumed_ && requested >= *resumed_) resumed_.reset();
+  if (!is_last_update_complete_ || !resumed_ || requested < *resumed_) return;
+  resumed_.reset();
+  if (!is_view_restored_)
+    selector_.end_uncertainty(std::max(selector_.tokens().clock(), restored_view_ended_));
 }
 
 flow_decision flow_router::open_flow(time_point now, const packet_head& head) {
@@ -69,6 +75,8 @@
   if (route == nullptr && !is_confirmed()) return decision_of(action::hold, reason::not_ready);
   if (route == nullptr) return decision_of(action::reset, reason::no_route);
   const auto key = head.key();
+  const auto& service = route->service_of(std::hash<flow_key>{}(key));
+  if (upstreams_.limit_of(service) != nullptr) selector_.record_demand(now);
   std::uint64_t excluded = 0;
   auto why = reason::opened;
   if (const auto* existing = flows_.find(key); existing != nullptr && is_opening(now, *existing)) {
@@ -77,8 +85,11 @@
     // to the same upstream.
     const bool is_ready =
         current != nullptr && current->report.condition == upstream_report::state::ready;
-    if (head.acknowledged <= existing->opening_copies && is_ready)
+    if (head.acknowledged <= existing->opening_copies && is_ready) {
+      if (!selector_.permit_copy(now, {upstreams_, flows_}, *current))
+        return decision_of(action::drop, reason::cold);
       return forward(*current, reason::reopened);
+    }
     // The caller sent another copy because it got no answer: the upstream is full,
     // unreachable or has crashed.
     if (head.acknowledged > existing->opening_copies)
@@ -86,9 +97,10 @@
     excluded = existing->upstream;
     why = reason::moved;
   }
-  const auto& service = route->service_of(std::hash<flow_key>{}(key));
   const auto* chosen = selector_.select(now, {upstreams_, flows_}, service, excluded);
   if (chosen == nullptr && !is_list_complete_) return decision_of(action::hold, reason::not_ready);
+  if (chosen == nullptr && selector_.lacks_token())
+    return decision_of(selector_.may_get_token(now) ? action::hold : action::reset, reason::cold);
   if (chosen == nullptr) return decision_of(action::reset, reason::no_upstream);
   auto& flow = flows_.open(now, key, chosen->incarnation);
   flow.opening_copies = head.acknowledged;
@@ -127,9 +139,33 @@
 bool flow_router::apply(const wire::flow_declaration& declaration) {
   if (declaration.version() <= routes_.version()) return false;
   routes_ = route_table(declaration);
+  upstreams_.set_limits(routes_.limits());
   return true;
 }
 
+result<void> flow_router::apply(const wire::flow_declaration_change& change) {
+  ZINNIA_TRY(routes_.apply(change));
+  upstreams_.set_limits(routes_.limits());
+  return success();
+}
+
+void flow_router::record_origin(time_point now, const wire::news_reply& reply) {
+  if (reply.recalled()) {
+    if (confirmed_version_) return;
+    is_view_restored_ = true;
+    selector_.begin_uncertainty();
+  } else if (is_view_restored_) {
+    is_view_restored_ = false;
+    restored_view_ended_ = now + restored_uncertainty;
+    if (!resumed_) selector_.end_uncertainty(restored_view_ended_);
+  }
+}
+
+void flow_router::record_grants(time_point requested, const wire::news_reply& reply) {
+  for (const auto& it : reply.warmup_grants())
+    selector_.tokens().record_grant(requested, it);
+}
+
 bool flow_router::merge_update(time_point now, const wire::upstream_news& update,
                                update_extent extent) {
   selector_.record_update(now);
@@ -159,9 +195,11 @@
 }
 
 void flow_router::tick(time_point now) {
+  selector_.tokens().advance(now);
   if (now < next_expiry_) return;
   next_expiry_ = now + expiry_period;
   flows_.expire(now, idle_flow_timeout);
+  upstreams_.refresh_warmups(now);
   const auto previous_size = upstreams_.size();
   upstreams_.remove_expired(now);
   if (upstreams_.size() == previous_size) return;
--- a/libraries/flow/route_table.cpp
+++ b/libraries/flow/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include "zinniarelay/flow/declaration_history.h"
 
+#include <cmath>
 #include <numeric>
 #include <unordered_set>
 
@@ -41,6 +42,8 @@
     const auto& name = declaration.services(i).name();
     require(!name.empty(), place, "has no name");
     require(service_names.insert(name).second, place, "'" + name + "' is declared twice");
+    const auto rate = declaration.services(i).warmup_rate();
+    require(std::isfinite(rate) && rate >= 0, place, "has an invalid warm-up rate");
   }
   std::unordered_set<endpoint> addresses;
   for (int i = 0; i < declaration.routes_size(); ++i) {
@@ -63,7 +66,7 @@
 }
 
 route_table::route_table(const wire::flow_declaration& declaration)
-    : version_(declaration.version()) {
+    : version_(declaration.version()), limits_(warmup_limits_of(declaration.services())) {
   set_idle_timeout(declaration.idle_timeout_ms());
   for (const auto& it : declaration.routes())
     set_route(it);
@@ -89,7 +92,8 @@
 }
 
 std::uint64_t route_table::digest_after(const wire::flow_declaration_change& change) const {
-  auto out = digest_ + digest_of_idle_timeout(change.idle_timeout_ms());
+  auto out = digest_ + digest_of_idle_timeout(change.idle_timeout_ms()) +
+             digest_of(warmup_limits_of(change.services()));
   const auto former_digest = [&](const auto& address) {
     const auto it = routes_.find(address);
     return it == routes_.end() ? 0 : it->second.digest;
@@ -107,6 +111,8 @@
     return failure(error_kind::conflict, place,
                    "is based on version " + std::to_string(change.base_version()) +
                        ", in force is " + std::to_string(version_));
+  if (!limits_.empty() && change.services().empty())
+    return failure(error_kind::conflict, place, "has no warm-up limits");
   if (digest_after(change) != change.digest())
     return failure(error_kind::conflict, place, "leads to another declaration than the sender's");
   for (const auto& it : change.removed()) {
@@ -118,6 +124,7 @@
   for (const auto& it : change.routes())
     set_route(it);
   set_idle_timeout(change.idle_timeout_ms());
+  limits_ = warmup_limits_of(change.services());
   version_ = change.version();
   return success();
 }
--- a/libraries/flow/upstream_directory.cpp
+++ b/libraries/flow/upstream_directory.cpp
@@ -9,6 +9,16 @@
 
 namespace {
 
+// Reports of one warm-up arrive with delays that differ. A report that extends it by more is a
+// change of content, and a warm-up counts for so much longer, because hosts may not know of a
+// shorter extension.
+constexpr milliseconds warmup_tolerance{250};
+// The clocks of an upstream and of the host that gets its first report differ by up to this much.
+constexpr milliseconds max_clock_difference{2'000};
+// Hosts that got a list of upstreams that was compressed earlier count them as cold for longer, and
+// need leases for as long.
+constexpr milliseconds cold_retention{10'000};
+
 bool is_included(const upstream_directory::entry& it, upstream_directory::refreshes included) {
   using refreshes = upstream_directory::refreshes;
   return included == refreshes::all || (included == refreshes::direct && it.is_direct);
@@ -17,26 +27,29 @@
 } // namespace
 
 upstream_directory::merge_result
-upstream_directory::merge(time_point now, const upstream_report& report, origin from) {
+upstream_directory::merge(time_point now, const upstream_report& report, origin from,
+                          std::optional<milliseconds> age) {
   const auto it = entries_.find(report.incarnation());
-  if (it == entries_.end()) return add(now, report, from);
+  if (it == entries_.end()) return add(now, report, from, age);
   auto& existing = it->second;
   const auto& previous = existing.report;
   const bool is_newer = report.sequence > previous.sequence;
   // The state only advances from ready to draining to gone, in whatever order reports arrive.
   const auto condition = std::max(previous.condition, report.condition);
-  if (!is_newer && condition == previous.condition) return merge_result::ignored;
+  const bool is_cold_again = condition != state::gone && extends_warmup(now, existing, report);
+  if (!is_newer && condition == previous.condition && !is_cold_again) return merge_result::ignored;
   // The report of an upstream that is gone contains only its identity.
   auto next = is_newer && report.condition != state::gone ? report : previous;
   next.condition = condition;
   next.sequence = std::max(previous.sequence, report.sequence);
-  const bool is_changed = !next.has_same_content(previous);
+  const bool is_changed = is_cold_again || !next.has_same_content(previous);
   const auto previous_address = previous.address;
   const bool is_moved = next.address != previous_address;
+  const auto stated_warmup = is_newer || is_cold_again ? report.warmup : milliseconds(0);
   if (next.condition != previous.condition) existing.last_state_change = now;
   existing.report = std::move(next);
   existing.last_report = now;
-  existing.warmup_end = now + existing.report.warmup;
+  record_warmup(now, existing, stated_warmup);
   existing.is_direct = from == origin::upstream;
   if (is_changed)
     record_change(existing);
@@ -81,15 +94,17 @@
 }
 
 upstream_directory::merge_result
-upstream_directory::add(time_point now, const upstream_report& report, origin from) {
+upstream_directory::add(time_point now, const upstream_report& report, origin from,
+                        std::optional<milliseconds> age) {
   const auto key = report.incarnation();
   forgotten_.erase(key);
   entry added;
   added.report = report;
   added.incarnation = key;
   added.route_tag = report.route_tag();
-  added.last_report = added.last_state_change = now;
-  added.warmup_end = now + report.warmup;
+  added.last_report = added.last_state_change = added.first_report = now;
+  if (report.warmup == milliseconds(0)) added.unstated_age = age;
+  record_warmup(now, added, report.warmup);
   added.is_direct = from == origin::upstream;
   const auto same_id = by_id_.find(report.id);
   resolve_conflict(now, added, same_id == by_id_.end() ? nullptr : &same_id->second);
@@ -107,6 +122,98 @@
   return merge_result::changed;
 }
 
+// A warm-up of a service with a limit never ends earlier because of a later report: reports may be
+// delayed, and an upstream that does not state its warm-up states 0 in each of them.
+void upstream_directory::record_warmup(time_point now, entry& reported, milliseconds stated) {
+  reported.has_warmup |= stated > milliseconds(0);
+  if (limit_of(reported.report.service) == nullptr) {
+    reported.warmup_end = now + reported.report.warmup;
+    return;
+  }
+  reported.warmup_end = std::max(reported.warmup_end, now + stated);
+  if (const auto end = unstated_warmup_end(reported)) {
+    reported.warmup_end = std::max(reported.warmup_end, *end);
+    reported.has_warmup = true;
+  }
+  if (!reported.has_warmup) return;
+  const auto remaining = std::chrono::ceil<milliseconds>(reported.warmup_end - now);
+  reported.report.warmup = std::max(milliseconds(0), remaining);
+  if (remaining > milliseconds(0)) cold_.insert(reported.incarnation);
+}
+
+// Hosts send each other the remaining warm-up, which grows by the delay of the message. With the
+// same sequence it must not extend a known warm-up, because two hosts would extend it for ever.
+bool upstream_directory::extends_warmup(time_point now, const entry& known,
+                                        const upstream_report& report) const {
+  if (limit_of(known.report.service) == nullptr || report.warmup == milliseconds(0)) return false;
+  if (!known.has_warmup) return report.sequence >= known.report.sequence;
+  return report.sequence > known.report.sequence &&
+         now + report.warmup > known.warmup_end + warmup_tolerance;
+}
+
+std::optional<time_point> upstream_directory::unstated_warmup_end(const entry& reported) const {
+  const auto* limit = limit_of(reported.report.service);
+  if (limit == nullptr || !reported.unstated_age) return std::nullopt;
+  if (*reported.unstated_age >= limit->duration + max_clock_difference) return std::nullopt;
+  return reported.first_report + limit->duration;
+}
+
+const warmup_limit* upstream_directory::limit_of(const std::string& service) const {
+  if (limits_.empty()) return nullptr;
+  const auto it = limits_.find(service);
+  return it == limits_.end() ? nullptr : &it->second;
+}
+
+void upstream_directory::set_limits(const warmup_limits& limits) {
+  if (limits == limits_) return;
+  limits_ = limits;
+  cold_.clear();
+  for (auto& [incarnation, it] : entries_) {
+    if (limit_of(it.report.service) == nullptr || it.report.condition == state::gone) continue;
+    cold_.insert(incarnation);
+    const auto end = unstated_warmup_end(it);
+    if (!end || *end <= it.warmup_end) continue;
+    it.warmup_end = *end;
+    it.has_warmup = true;
+    it.report.warmup = std::chrono::ceil<milliseconds>(*end - it.first_report);
+    record_change(it);
+  }
+}
+
+bool upstream_directory::is_cold(time_point now, const entry& upstream) const {
+  return upstream.has_warmup && now < upstream.warmup_end + warmup_tolerance &&
+         limit_of(upstream.report.service) != nullptr;
+}
+
+std::size_t upstream_directory::cold_count(time_point now) const {
+  return static_cast<std::size_t>(std::count_if(cold_.begin(), cold_.end(), [&](auto incarnation) {
+    const auto* known = find(incarnation);
+    return known != nullptr && is_cold(now, *known);
+  }));
+}
+
+void upstream_directory::count_zone_as_cold(time_point now, const std::string& zone) {
+  if (limits_.empty()) return;
+  for (auto& [incarnation, it] : entries_) {
+    const auto* limit = limit_of(it.report.service);
+    if (limit == nullptr || it.report.zone != zone || it.report.condition == state::gone) continue;
+    record_warmup(now, it, limit->duration);
+  }
+}
+
+void upstream_directory::refresh_warmups(time_point now) {
+  for (auto it = cold_.begin(); it != cold_.end();) {
+    const auto found = entries_.find(*it);
+    const bool is_over = found == entries_.end() || !found->second.has_warmup ||
+                         found->second.report.condition == state::gone ||
+                         now >= found->second.warmup_end + cold_retention;
+    if (found != entries_.end() && found->second.has_warmup)
+      found->second.report.warmup = std::max(
+          milliseconds(0), std::chrono::ceil<milliseconds>(found->second.warmup_end - now));
+    it = is_over ? cold_.erase(it) : std::next(it);
+  }
+}
+
 void upstream_directory::record_refresh(entry& refreshed) {
   by_refresh_position_.erase(refreshed.refresh_position);
   refreshed.refresh_position = ++position_;
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -9,6 +9,12 @@
 constexpr std::uint32_t suspect_after_timeouts = 2;
 // Upstreams of this host's zone, and of the other zones, that are compared for a new flow.
 constexpr std::size_t max_compared = 32;
+// A host without updates for this long may not know that an upstream was restarted.
+constexpr milliseconds isolation_timeout{2'000};
+// Control hosts reply to entry hosts every 500 ms.
+constexpr milliseconds grant_timeout{1'500};
+// A host without opening packets for services with a limit for this long leaves the leases to others.
+constexpr milliseconds demand_timeout{5'000};
 
 } // namespace
 
@@ -17,6 +23,8 @@
 const upstream_directory::entry* upstream_selector::select(time_point now, const view& known,
                                                            const std::string& service,
                                                            std::uint64_t excluded) {
+  lacks_token_ = false;
+  tokens_.advance(now);
   const auto listed = ready_upstreams_.find(service);
   if (listed == ready_upstreams_.end()) return nullptr;
   const auto& [local, remote] = listed->second;
@@ -26,7 +34,9 @@
   if (std::none_of(candidates.begin(), candidates.end(), is_free))
     add_candidates(now, known, remote, excluded, candidates);
   const auto chosen = choose_upstream(candidates, settings_.choice, engine_);
-  return chosen ? known.upstreams.find(*chosen) : nullptr;
+  const auto* out = chosen ? known.upstreams.find(*chosen) : nullptr;
+  if (out != nullptr && needs_token(known, *out)) tokens_.take(out->incarnation);
+  return out;
 }
 
 void upstream_selector::add_candidates(time_point now, const view& known,
@@ -37,13 +47,48 @@
   std::size_t position = 0;
   if (list.size() > max_compared)
     position = std::uniform_int_distribution<std::size_t>(0, list.size() - 1)(engine_);
-  for (std::size_t n = 0; n < std::min(list.size(), max_compared); ++n) {
+  std::size_t compared = 0;
+  for (std::size_t n = 0; n < list.size() && compared < max_compared; ++n) {
     const auto* upstream = known.upstreams.find(list[(position + n) % list.size()]);
+    // Those without a token do not take the place of others.
+    if (upstream != nullptr && needs_token(known, *upstream) &&
+        !tokens_.has_token(upstream->incarnation)) {
+      lacks_token_ = true;
+      continue;
+    }
+    ++compared;
     if (upstream != nullptr && upstream->incarnation != excluded)
       out.push_back(candidate_of(now, known, *upstream));
   }
 }
 
+// Uses the clock of the tokens, which never goes back: a held packet is decided with the time of its
+// arrival.
+bool upstream_selector::needs_token(const view& known,
+                                    const upstream_directory::entry& upstream) const {
+  if (known.upstreams.limit_of(upstream.report.service) == nullptr) return false;
+  const auto now = tokens_.clock();
+  if (now < certain_from_ || known.upstreams.is_cold(now, upstream)) return true;
+  // An upstream that left an opening packet unanswered may have been restarted.
+  if (!last_update_ || now - *last_update_ <= isolation_timeout) return false;
+  const auto it = health_observations_.find(upstream.incarnation);
+  return it != health_observations_.end() && it->second.last_timeout > *last_update_;
+}
+
+bool upstream_selector::permit_copy(time_point now, const view& known,
+                                    const upstream_directory::entry& upstream) {
+  tokens_.advance(now);
+  return !needs_token(known, upstream) || tokens_.take(upstream.incarnation);
+}
+
+bool upstream_selector::may_get_token(time_point now) const {
+  return last_update_ && std::max(now, tokens_.clock()) - *last_update_ <= grant_timeout;
+}
+
+bool upstream_selector::has_demand(time_point now) const {
+  return last_demand_ && now - *last_demand_ < demand_timeout;
+}
+
 upstream_candidate
 upstream_selector::candidate_of(time_point now, const view& known,
                                 const upstream_directory::entry& upstream) const {
--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -32,6 +32,7 @@
   restore_saved_view();
   workers_.emplace_back([this] { run_replicators(); });
   workers_.emplace_back([this] { run_joining(); });
+  workers_.emplace_back([this] { run_warmup(); });
 }
 
 void flow_control_service::stop() {
--- a/services/controld/flow_control_service.h
+++ b/services/controld/flow_control_service.h
@@ -69,6 +69,8 @@
                     wire::read_reply* reply) override;
   grpc::Status Join(grpc::ServerContext* context, const wire::join_request* request,
                     wire::join_reply* reply) override;
+  grpc::Status GrantWarmup(grpc::ServerContext* context, const wire::grant_request* request,
+                           wire::grant_reply* reply) override;
   grpc::Status ApplyVersion(grpc::ServerContext* context, const wire::version_request* request,
                             wire::version_reply* reply) override;
 
@@ -97,6 +99,13 @@
   /// Ends the call of an entry host that no longer waits.
   void cancel_update(std::uint64_t ticket);
   void run_joining();
+  /// Requests warm-up leases from the leader while upstreams are cold.
+  void run_warmup();
+  /// Returns no value when the leader is unknown or does not reply.
+  std::optional<wire::grant_reply> request_warmup(const std::string& leader,
+                                                  const wire::grant_request& request);
+  wire::grant_reply grant_locally(const wire::grant_request& request);
+  void publish_warmup();
   /// Restores the saved view and starts the view writer.
   void restore_saved_view();
   std::optional<wire::join_reply> send_join_request(const std::string& address,
--- a/services/controld/flow_control_upstreams.cpp
+++ b/services/controld/flow_control_upstreams.cpp
@@ -34,7 +34,7 @@
     return {outcome::invalid, "the start is in the future"};
   }
   std::unique_lock lock(shared_.mutex);
-  const auto merged = shared_.host.merge_report(monotonic_now(), value);
+  const auto merged = shared_.host.merge_report(monotonic_now(), value, wall_ms());
   if (merged == upstream_directory::merge_result::changed) {
     log_info("upstream_changed")
         .with("upstream", value.id)
@@ -114,7 +114,7 @@
     const auto is_urgent = [&](const auto& it) { return shared_.host.has_urgent_update(now, it); };
     for (const auto ticket : update_queue_.take_due(now, is_urgent)) {
       auto* call = update_calls_.extract(ticket).mapped();
-      call->reply() = shared_.host.updates(now, call->request());
+      call->reply() = shared_.host.updates(now, call->request(), call->received());
       reply_bytes_.record(static_cast<double>(call->reply().ByteSizeLong()));
       due.push_back(call);
     }
--- a/services/controld/update_call.h
+++ b/services/controld/update_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flow.pb.h"
+#include "zinniarelay/core/time.h"
 
 #include <cstdint>
 #include <functional>
@@ -15,10 +16,13 @@
   using cancel_handler = std::function<void(std::uint64_t ticket)>;
 
   update_call(const wire::news_request& request, wire::news_reply& reply, cancel_handler on_cancel)
-      : request_(request), reply_(reply), on_cancel_(std::move(on_cancel)) {}
+      : request_(request), reply_(reply), on_cancel_(std::move(on_cancel)),
+        received_(monotonic_now()) {}
 
   const wire::news_request& request() const { return request_; }
   wire::news_reply& reply() { return reply_; }
+  /// Time of the arrival of the request.
+  time_point received() const { return received_; }
   std::uint64_t ticket() const { return ticket_; }
   void set_ticket(std::uint64_t value) { ticket_ = value; }
 
@@ -30,6 +34,7 @@
   const wire::news_request& request_;
   wire::news_reply& reply_;
   cancel_handler on_cancel_;
+  time_point received_;
   std::uint64_t ticket_ = 0;
 };
 
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -47,7 +47,7 @@
       log_rate_limiter_(log_lines_per_second),
       answer_durations_(metrics_.distribution_of("flow_answer_wait_ms")),
       loop_gaps_(metrics_.distribution_of("loop_gap_ms")), last_iteration_(monotonic_now()),
-      next_status_(last_iteration_ + status_interval) {}
+      next_status_(last_iteration_ + status_interval), warmup_holder_(engine_() | 1U) {}
 
 result<std::unique_ptr<flow_daemon>> flow_daemon::create(const flow_settings& settings,
                                                          random_engine engine) {
@@ -101,6 +101,8 @@
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
     host_.tick(now);
+    updates_->set_warmup_holder(host_.wants_grants(now) ? warmup_holder_ : 0);
+    if (host_.may_release_held()) release_held_packets(now);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
@@ -268,6 +270,7 @@
   }
   metrics_.gauge_of("packets_malformed").set(static_cast<double>(malformed_));
   metrics_.gauge_of("packets_unsent").set(static_cast<double>(unsent_));
+  publish_warmup();
   metrics_.gauge_of("open_flows").set(static_cast<double>(host_.router().flows().size()));
   metrics_.gauge_of("packets_held").set(static_cast<double>(host_.held().size()));
   metrics_.gauge_of("packets_held_dropped").set(static_cast<double>(host_.held().dropped()));
@@ -277,4 +280,13 @@
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
+void flow_daemon::publish_warmup() {
+  if (!host_.router().upstreams().has_limits()) return;
+  const auto& tokens = host_.router().selector().tokens();
+  metrics_.gauge_of("warmup_cold_upstreams")
+      .set(static_cast<double>(host_.router().upstreams().cold_count(tokens.clock())));
+  metrics_.gauge_of("warmup_leases").set(static_cast<double>(tokens.leases()));
+  metrics_.gauge_of("warmup_tokens_used").set(static_cast<double>(tokens.used()));
+}
+
 } // namespace zinnia::flowd
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -59,6 +59,7 @@
   void log_decision(time_point now, const packet_head& head, const flow_decision& decision);
   void log_status(time_point now);
   void publish(time_point now);
+  void publish_warmup();
   http_response answer(const http_request& request);
 
   flow_settings settings_;
@@ -79,6 +80,7 @@
   time_point last_iteration_; ///< of the loop in run()
   time_point next_publish_;
   time_point next_status_;
+  std::uint64_t warmup_holder_; ///< distinguishes this process from an earlier one of this host
   time_point next_presence_;
   std::uint64_t malformed_ = 0;
   std::uint64_t unsent_ = 0; ///< datagrams that the system refused
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -97,6 +97,7 @@
   out.set_accepts_changes(true);
   out.set_accepts_parts(true);
   out.set_overdue_after_ms(static_cast<std::uint32_t>(self_.report_timeout.count()));
+  out.set_warmup_holder(warmup_holder_);
   declaration_parts_.describe(out);
   out.set_source(received.source);
   out.set_position(received.position);
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -54,6 +54,8 @@
   void record_start(const std::string& address, std::uint64_t source);
   /// Makes the next request ask for an immediate reply.
   void request_immediate_reply() { is_immediate_reply_required_ = true; }
+  /// Sets the number of this process in requests for warm-up grants; 0 requests none.
+  void set_warmup_holder(std::uint64_t holder) { warmup_holder_ = holder; }
   /// Sets the version of the declaration in force, which the next request names.
   void set_version(std::uint64_t version) { version_ = version; }
 
@@ -135,6 +137,7 @@
   std::vector<std::string> started_;             ///< control hosts, since the last take
   bool is_stopping_ = false;
   std::atomic<std::uint64_t> version_{0};
+  std::atomic<std::uint64_t> warmup_holder_{0};
   std::atomic<bool> is_immediate_reply_required_{false};
   std::thread worker_;
 };
