flow: a report without a warm-up does not make an upstream cold for 250 ms

Cause: record_warmup() moved the end of an earlier warm-up to the time of each report; without_contact_an_unresponsive_upstream_needs_a_token failed first. Change: only a stated warm-up moves the end.

--- a/include/zinniarelay/flow/warmup_tokens.h
+++ b/include/zinniarelay/flow/warmup_tokens.h
@@ -22,6 +22,8 @@
   void record_grant(time_point requested, const wire::warmup_grant& grant);
   /// Returns true when a packet may be sent to the upstream now.
   bool has_token(std::uint64_t incarnation) const;
+  /// Returns true when the lease of the upstream has not expired at a time.
+  bool has_lease(time_point now, std::uint64_t incarnation) const;
   /// Takes a token. Returns false when there is none.
   bool take(std::uint64_t incarnation);
   /// Returns true when a packet may be sent to any upstream now.
--- a/libraries/flow/upstream_directory.cpp
+++ b/libraries/flow/upstream_directory.cpp
@@ -130,7 +130,8 @@
     reported.warmup_end = now + reported.report.warmup;
     return;
   }
-  reported.warmup_end = std::max(reported.warmup_end, now + stated);
+  if (stated > milliseconds(0))
+    reported.warmup_end = std::max(reported.warmup_end, now + stated);
   if (const auto end = unstated_warmup_end(reported)) {
     reported.warmup_end = std::max(reported.warmup_end, *end);
     reported.has_warmup = true;
--- a/libraries/flow/warmup_tokens.cpp
+++ b/libraries/flow/warmup_tokens.cpp
@@ -30,10 +30,14 @@
   return std::min(burst, value.tokens + elapsed.count() * value.rate);
 }
 
-bool warmup_tokens::has_token(std::uint64_t incarnation) const {
+bool warmup_tokens::has_lease(time_point now, std::uint64_t incarnation) const {
   const auto it = buckets_.find(incarnation);
-  if (it == buckets_.end() || clock_ >= it->second.expires) return false;
-  return tokens_of(it->second) >= 1 - tolerance;
+  return it != buckets_.end() && now < it->second.expires;
+}
+
+bool warmup_tokens::has_token(std::uint64_t incarnation) const {
+  return has_lease(clock_, incarnation) &&
+         tokens_of(buckets_.at(incarnation)) >= 1 - tolerance;
 }
 
 bool warmup_tokens::take(std::uint64_t incarnation) {
--- a/tests/libraries/warmup/warmup_limits_test.cpp
+++ b/tests/libraries/warmup/warmup_limits_test.cpp
@@ -28,6 +28,8 @@
 
   static options with(std::uint64_t seed, options value) {
     value.seed = seed;
+    // The constant part of the bound hides faults at low rates.
+    if (seed % 2 == 0) value.rate = 30;
     return value;
   }
 
@@ -39,6 +41,7 @@
 
   void check_bound() const {
     BOOST_TEST(highest_rate() <= bound(), "seed " << options_.seed << ": " << highest_rate());
+    BOOST_TEST(most_holders == 1U);
   }
 };
 
@@ -55,7 +58,7 @@
   system.check_bound();
   // A lease is in use: several flows, and no more than the rate over the whole time.
   BOOST_TEST(system.openings_while_cold() >= 6U);
-  BOOST_TEST(system.openings_while_cold() <= 4U * 6U + 6U);
+  BOOST_TEST(static_cast<double>(system.openings_while_cold()) <= system.options_.rate * 6 + 6);
 }
 
 // Guards against flows at full speed when no upstream is warm, and against a system that then
@@ -140,13 +143,16 @@
   system.check_bound();
 }
 
-// Guards against an upstream that counts as warm because it states its warm-up late or never.
+// Guards against an upstream that counts as warm because it states its warm-up late, never, or only
+// once.
 BOOST_DATA_TEST_CASE(unstated_warmup_counts, seeds, seed) {
   warm_system system(seed);
   for (std::size_t n = 0; n < service_size; ++n) {
     auto& it = system.start_upstream(n, milliseconds(n % 3 == 0 ? -1'500 : 1'500));
     it.told_after.reset();
     if (n % 2 == 0) it.told_after = milliseconds(2'000);
+    if (n % 5 == 0) it.told_after = milliseconds(0);
+    if (n % 5 == 0) it.told_until = milliseconds(500);
   }
   system.run(warmup_system::warmup);
   system.check_bound();
@@ -212,7 +218,7 @@
   warm_system system(1, value);
   system.restart_all();
   system.run(warmup_system::warmup);
-  BOOST_TEST(system.highest_rate() > 2 * warmup_system::bound());
+  BOOST_TEST(system.highest_rate() > 2 * system.bound());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libraries/warmup/warmup_system.h
+++ b/tests/libraries/warmup/warmup_system.h
@@ -19,7 +19,6 @@
 /// simulated clock. Records each opening packet that an upstream gets.
 class warmup_system {
 public:
-  static constexpr double rate = 4;
   static constexpr milliseconds warmup{6'000};
   static constexpr milliseconds step_time = control_group::step_time;
   static constexpr std::uint64_t wall_base_ms = 1'700'000'000'000;
@@ -29,6 +28,7 @@
     std::size_t entry_hosts = 12;
     double flows_per_second = 20; ///< at each entry host
     bool is_limited = true;
+    double rate = 4; ///< opening packets a second to a cold upstream
     std::uint64_t control_hosts = 3;
   };
 
@@ -59,6 +59,7 @@
     time_point next_report;
     std::uint64_t control = 1; ///< to which it reports
     std::optional<milliseconds> told_after{milliseconds(0)}; ///< when it states its warm-up
+    milliseconds told_until{60'000};
     bool is_up = true;
     std::vector<time_point> openings;
   };
@@ -84,7 +85,7 @@
     service.set_name("registry");
     if (options_.is_limited) {
       service.set_warmup_ms(static_cast<std::uint32_t>(warmup.count()));
-      service.set_warmup_rate(rate);
+      service.set_warmup_rate(options_.rate);
     }
     auto& route = *declaration.add_routes();
     route.set_name("lookup");
@@ -145,6 +146,7 @@
       send_flows();
       for (auto& it : entries)
         serve(it);
+      count_holders();
     }
   }
 
@@ -160,7 +162,7 @@
     }
     return out;
   }
-  static std::size_t bound() { return static_cast<std::size_t>(rate * 1.5 + 5); }
+  std::size_t bound() const { return static_cast<std::size_t>(options_.rate * 1.5 + 5); }
   std::size_t highest_rate() const {
     std::size_t out = 0;
     for (const auto& [n, it] : upstreams)
@@ -193,6 +195,7 @@
   std::size_t resets = 0;
   std::size_t duplicates = 0;
   std::size_t grant_requests = 0;
+  std::size_t most_holders = 0; ///< entry hosts with a lease of one upstream at the same time
 
 private:
   static constexpr std::uint32_t service_ip = 0xC612'0001;
@@ -212,13 +215,25 @@
 
   double uniform() { return std::uniform_real_distribution<double>(0, 1)(engine_); }
 
+  void count_holders() {
+    for (const auto& [n, it] : upstreams) {
+      const auto incarnation = it.report.incarnation();
+      const auto holders =
+          std::count_if(entries.begin(), entries.end(), [&](const auto& entry) {
+            const auto& tokens = entry.host->router().selector().tokens();
+            return tokens.has_lease(clock_of(entry), incarnation);
+          });
+      most_holders = std::max(most_holders, static_cast<std::size_t>(holders));
+    }
+  }
+
   void send_reports() {
     for (auto& [n, it] : upstreams) {
       if (!it.is_up || group.now < it.next_report || !group.is_up(it.control)) continue;
       it.next_report = group.now + milliseconds(1'000);
       ++it.report.sequence;
       const auto age = std::chrono::duration_cast<milliseconds>(group.now - it.started);
-      const bool is_told = it.told_after && age >= *it.told_after;
+      const bool is_told = it.told_after && age >= *it.told_after && age < it.told_until;
       it.report.warmup = is_told ? std::max(milliseconds(0), warmup - age) : milliseconds(0);
       group.host(it.control).merge_report(group.now, it.report, wall_ms());
     }
