--- a/libraries/control/control_host_zones.cpp
+++ b/libraries/control/control_host_zones.cpp
@@ -95,6 +95,9 @@
 void control_host::update_evacuations(time_point now, const wire::zone_evacuations& committed) {
   for (auto& it : evacuations_.apply(now, committed))
     zone_changes_.push_back(std::move(it));
+  // The upstreams of a restored zone may have become cold shortly before.
+  for (const auto& it : committed.zones())
+    if (evacuations_.restored_at(it.zone()) == now) count_zone_as_cold(now, it.zone());
 }
 
 std::vector<evacuated_zones::change> control_host::take_zone_changes() {
