--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -106,6 +106,7 @@
 
 void control_host::restore_view(time_point now, wire::recalled_view view) {
   restored_declaration_ = std::move(*view.mutable_declaration());
+  update_evacuations(now, view.evacuations());
   wire::upstream_news update;
   update.mutable_reports()->Swap(view.mutable_upstreams());
   upstreams_.merge(now, update);
@@ -125,13 +126,14 @@
         now - it.last_report < max_report_age)
       *out.add_upstreams() = it.report.to_wire();
   });
+  *out.mutable_evacuations() = evacuations_.content();
   for (const auto& it : notices_.present(now))
     out.add_entry_hosts(it.to_string());
   return out;
 }
 
 control_host::view_position control_host::current_view_position() const {
-  return {committed_declaration().version(), upstreams_.content_position()};
+  return {committed_declaration().version(), upstreams_.content_position(), evacuations_.version()};
 }
 
 const wire::flow_declaration& control_host::committed_declaration() const {
@@ -210,12 +212,19 @@
 // Upstreams.
 
 upstream_directory::merge_result control_host::merge_report(time_point now,
-                                                            const upstream_report& value) {
-  return upstreams_.merge(now, value, upstream_directory::origin::upstream);
+                                                            const upstream_report& value,
+                                                            std::uint64_t wall_ms) {
+  follow_limits();
+  std::optional<milliseconds> age;
+  if (wall_ms != 0)
+    age = milliseconds(static_cast<std::int64_t>(wall_ms) -
+                       static_cast<std::int64_t>(value.started_ms));
+  return upstreams_.merge(now, value, upstream_directory::origin::upstream, age);
 }
 
 wire::spread_reply control_host::merge_replicated(time_point now,
                                                   const wire::spread_request& request) {
+  follow_limits();
   upstreams_.merge(now, request.upstreams());
   wire::spread_reply out;
   out.set_source(source_);
@@ -234,11 +243,14 @@
   return out;
 }
 
-wire::news_reply control_host::updates(time_point now, const wire::news_request& request) {
+wire::news_reply control_host::updates(time_point now, const wire::news_request& request,
+                                       time_point received) {
   wire::news_reply out;
   out.set_source(source_);
+  add_evacuations(now, request, out);
   add_upstreams(now, request, out);
   add_declaration(now, request, out);
+  add_warmup_grants(now, request, received, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
   for (auto& it : member_addresses(request.zone()))
@@ -309,8 +321,9 @@
   const bool can_serve =
       has_quorum(now) || (serves_restored_view(now) && restored_declaration_.version() > 0);
   if (request.quorum_required() && !can_serve) return false;
-  return request.source() != source_ || committed_declaration().version() > request.version() ||
-         upstreams_.content_position() > request.position();
+  return request.source() != source_ || lacks_evacuations(request) ||
+         committed_declaration().version() > request.version() ||
+         upstreams_.content_position() > request.position() || has_new_grant(request);
 }
 
 } // namespace zinnia
--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -32,6 +32,7 @@
   restore_saved_view();
   workers_.emplace_back([this] { run_replicators(); });
   workers_.emplace_back([this] { run_joining(); });
+  workers_.emplace_back([this] { run_warmup(); });
 }
 
 void flow_control_service::stop() {
@@ -76,6 +77,7 @@
 }
 
 void flow_control_service::on_progress() {
+  log_zone_changes();
   const auto version = shared_.host.flows().declaration().version();
   if (version == announced_version_) return;
   announced_version_ = version;
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -47,7 +47,7 @@
       log_rate_limiter_(log_lines_per_second),
       answer_durations_(metrics_.distribution_of("flow_answer_wait_ms")),
       loop_gaps_(metrics_.distribution_of("loop_gap_ms")), last_iteration_(monotonic_now()),
-      next_status_(last_iteration_ + status_interval) {}
+      next_status_(last_iteration_ + status_interval), warmup_holder_(engine_() | 1U) {}
 
 result<std::unique_ptr<flow_daemon>> flow_daemon::create(const flow_settings& settings,
                                                          random_engine engine) {
@@ -101,6 +101,8 @@
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
     host_.tick(now);
+    updates_->set_warmup_holder(host_.wants_grants(now) ? warmup_holder_ : 0);
+    if (host_.may_release_held()) release_held_packets(now);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
@@ -158,7 +160,9 @@
     const auto applied = host_.apply(now, reply, requested);
     if (applied.is_declaration_new) log_declaration(reply);
     if (applied.refusal) log_warning("declaration_change_refused").with(*applied.refusal);
+    log_zones(applied.zones);
     updates_->set_version(host_.requested_version());
+    updates_->set_evacuations_version(host_.evacuations_version());
   }
   if (!updates.empty()) release_held_packets(now);
   if (host_.is_ready() == is_ready_) return;
@@ -177,6 +181,13 @@
       .with("quorum_age_ms", reply.quorum_age_ms());
 }
 
+void flow_daemon::log_zones(const std::vector<evacuated_zones::change>& changes) {
+  for (const auto& it : changes)
+    log_info(name_of(it.type))
+        .with("changed_zone", it.zone)
+        .with("version", host_.evacuations_version());
+}
+
 void flow_daemon::handle_packets(time_point now, std::size_t count) {
   for (std::size_t n = 0; n < count; ++n) {
     const auto head = platform::decode_head(socket_->received(n));
@@ -255,7 +266,8 @@
       .with("in_force_ms", elapsed_ms(host_.in_force_since(), now))
       .with("update_age_ms", elapsed_ms(host_.last_update(), now))
       .with("upstreams", host_.router().upstreams().size())
-      .with("open_flows", host_.router().flows().size());
+      .with("open_flows", host_.router().flows().size())
+      .with("evacuations_version", host_.evacuations_version());
 }
 
 void flow_daemon::publish(time_point now) {
@@ -268,13 +280,28 @@
   }
   metrics_.gauge_of("packets_malformed").set(static_cast<double>(malformed_));
   metrics_.gauge_of("packets_unsent").set(static_cast<double>(unsent_));
+  publish_warmup();
   metrics_.gauge_of("open_flows").set(static_cast<double>(host_.router().flows().size()));
   metrics_.gauge_of("packets_held").set(static_cast<double>(host_.held().size()));
   metrics_.gauge_of("packets_held_dropped").set(static_cast<double>(host_.held().dropped()));
   metrics_.gauge_of("upstreams").set(static_cast<double>(host_.router().upstreams().size()));
   metrics_.gauge_of("declaration_version")
       .set(static_cast<double>(host_.router().routes().version()));
+  const auto& evacuations = host_.router().evacuations();
+  metrics_.gauge_of("evacuated_zones").set(static_cast<double>(evacuations.size()));
+  metrics_.gauge_of("evacuations_version").set(static_cast<double>(evacuations.version()));
+  metrics_.gauge_of("openings_kept_away")
+      .set(static_cast<double>(host_.router().openings_kept_away()));
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
+void flow_daemon::publish_warmup() {
+  if (!host_.router().upstreams().has_limits()) return;
+  const auto& tokens = host_.router().selector().tokens();
+  metrics_.gauge_of("warmup_cold_upstreams")
+      .set(static_cast<double>(host_.router().upstreams().cold_count(tokens.clock())));
+  metrics_.gauge_of("warmup_leases").set(static_cast<double>(tokens.leases()));
+  metrics_.gauge_of("warmup_tokens_used").set(static_cast<double>(tokens.used()));
+}
+
 } // namespace zinnia::flowd
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -48,6 +48,7 @@
   void detect_suspension(time_point now);
   void apply_updates(time_point now);
   void log_declaration(const wire::news_reply& reply);
+  void log_zones(const std::vector<evacuated_zones::change>& changes);
   void handle_packets(time_point now, std::size_t count);
   /// `bytes` is the packet, preceded by the headroom of packet_socket. It stays valid until
   /// flush().
@@ -59,6 +60,7 @@
   void log_decision(time_point now, const packet_head& head, const flow_decision& decision);
   void log_status(time_point now);
   void publish(time_point now);
+  void publish_warmup();
   http_response answer(const http_request& request);
 
   flow_settings settings_;
@@ -79,6 +81,7 @@
   time_point last_iteration_; ///< of the loop in run()
   time_point next_publish_;
   time_point next_status_;
+  std::uint64_t warmup_holder_; ///< distinguishes this process from an earlier one of this host
   time_point next_presence_;
   std::uint64_t malformed_ = 0;
   std::uint64_t unsent_ = 0; ///< datagrams that the system refused
