--- a/include/zinniarelay/operate/operator_client.h
+++ b/include/zinniarelay/operate/operator_client.h
@@ -34,6 +34,7 @@
   /// same operation id is safe.
   result<wire::apply_reply> apply(const wire::apply_request& request);
   result<wire::apply_reply> drain(const wire::drain_request& request);
+  result<wire::apply_reply> evacuate(const wire::evacuation_request& request);
   result<wire::members_reply> change_members(const wire::members_request& request);
   result<wire::diff_reply> diff(const wire::apply_request& request);
 
--- a/include/zinniarelay/operate/operator_transport.h
+++ b/include/zinniarelay/operate/operator_transport.h
@@ -22,6 +22,8 @@
                                         const wire::apply_request& request) = 0;
   virtual result<wire::apply_reply> drain(const endpoint& host,
                                           const wire::drain_request& request) = 0;
+  virtual result<wire::apply_reply> evacuate(const endpoint& host,
+                                             const wire::evacuation_request& request) = 0;
   virtual result<wire::members_reply> change_members(const endpoint& host,
                                                      const wire::members_request& request) = 0;
 };
--- a/libraries/operate/operator_client.cpp
+++ b/libraries/operate/operator_client.cpp
@@ -75,6 +75,11 @@
       [&](const endpoint& host) { return transport_.drain(host, request); }, classify_apply);
 }
 
+result<wire::apply_reply> operator_client::evacuate(const wire::evacuation_request& request) {
+  return repeat_until_final<wire::apply_reply>(
+      [&](const endpoint& host) { return transport_.evacuate(host, request); }, classify_apply);
+}
+
 result<wire::members_reply> operator_client::change_members(const wire::members_request& request) {
   return repeat_until_final<wire::members_reply>(
       [&](const endpoint& host) { return transport_.change_members(host, request); },
--- a/tests/libraries/operate/operator_client_test.cpp
+++ b/tests/libraries/operate/operator_client_test.cpp
@@ -25,6 +25,10 @@
   result<wire::apply_reply> drain(const endpoint& to, const wire::drain_request& request) override {
     return next(to, request.operation_id(), replies);
   }
+  result<wire::apply_reply> evacuate(const endpoint& to,
+                                     const wire::evacuation_request& request) override {
+    return next(to, request.operation_id(), replies);
+  }
   result<wire::diff_reply> diff(const endpoint& to, const wire::apply_request&) override {
     return next(to, "", diffs);
   }
--- a/utilities/zinniactl/command_context.h
+++ b/utilities/zinniactl/command_context.h
@@ -100,6 +100,7 @@
 void add_status_commands(CLI::App& app, command_context& context);
 void add_drain_commands(CLI::App& app, command_context& context);
 void add_member_commands(CLI::App& app, command_context& context);
+void add_zone_commands(CLI::App& app, command_context& context);
 void add_audit_command(CLI::App& app, command_context& context);
 void add_metrics_command(CLI::App& app, command_context& context);
 void add_key_commands(CLI::App& app, command_context& context);
--- a/utilities/zinniactl/grpc_transport.cpp
+++ b/utilities/zinniactl/grpc_transport.cpp
@@ -63,6 +63,15 @@
   return call<wire::operations>(host, &wire::operations::Stub::Drain, request);
 }
 
+result<wire::apply_reply> grpc_transport::evacuate(const endpoint& host,
+                                                   const wire::evacuation_request& request) {
+  return call<wire::operations>(host, &wire::operations::Stub::Evacuate, request);
+}
+
+result<wire::zones_reply> grpc_transport::zones(const endpoint& host) {
+  return call<wire::operations>(host, &wire::operations::Stub::Zones, wire::zones_request());
+}
+
 result<wire::members_reply> grpc_transport::change_members(const endpoint& host,
                                                            const wire::members_request& request) {
   return call<wire::operations>(host, &wire::operations::Stub::ChangeMembers, request);
--- a/utilities/zinniactl/grpc_transport.h
+++ b/utilities/zinniactl/grpc_transport.h
@@ -22,8 +22,11 @@
   result<wire::diff_reply> diff(const endpoint& host, const wire::apply_request& request) override;
   result<wire::apply_reply> drain(const endpoint& host,
                                   const wire::drain_request& request) override;
+  result<wire::apply_reply> evacuate(const endpoint& host,
+                                     const wire::evacuation_request& request) override;
   result<wire::members_reply> change_members(const endpoint& host,
                                              const wire::members_request& request) override;
+  result<wire::zones_reply> zones(const endpoint& host);
   result<wire::status_reply> status(const endpoint& host);
   result<wire::audit_reply> audit(const endpoint& host, const wire::audit_request& request);
   result<wire::metrics_reply> metrics(const endpoint& host);
--- a/utilities/zinniactl/main.cpp
+++ b/utilities/zinniactl/main.cpp
@@ -29,6 +29,7 @@
   add_status_commands(app, context);
   add_drain_commands(app, context);
   add_member_commands(app, context);
+  add_zone_commands(app, context);
   add_audit_command(app, context);
   add_metrics_command(app, context);
   add_key_commands(app, context);
