--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -313,6 +313,7 @@
   std::map<std::uint64_t, own_lease> own_leases_; ///< granted to this host, by incarnation
   warmup_leases entry_leases_;                    ///< granted to entry hosts
   std::set<std::uint64_t> eligible_entry_hosts_;  ///< that could get another lease now
+  std::set<std::uint64_t> full_entry_hosts_;      ///< that get as many leases as a reply contains
   std::set<std::uint64_t> last_requested_;        ///< incarnations
   time_point next_warmup_request_;
   struct {
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -244,8 +244,8 @@
   wire::news_reply out;
   out.set_source(source_);
   add_upstreams(now, request, out);
-  add_declaration(now, request, out);
   add_warmup_grants(now, request, received, out);
+  add_declaration(now, request, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
   for (auto& it : member_addresses(request.zone()))
--- a/libraries/control/control_host_warmup.cpp
+++ b/libraries/control/control_host_warmup.cpp
@@ -41,11 +41,15 @@
   upstreams_.refresh_warmups(now);
   control_leases_.remove_expired(now);
   entry_leases_.remove_expired(now);
+  if (own_leases_.empty()) full_entry_hosts_.clear();
   std::erase_if(own_leases_, [&](const auto& it) { return now >= it.second.expires; });
   std::vector<std::uint64_t> usable;
   for (const auto& [incarnation, it] : own_leases_)
     if (now + entry_margin < it.expires) usable.push_back(incarnation);
   eligible_entry_hosts_ = entry_leases_.eligible_holders(now, usable);
+  // A reply at once would contain no further lease.
+  for (const auto holder : full_entry_hosts_)
+    eligible_entry_hosts_.erase(holder);
 }
 
 // The leases of earlier leaders were requested before the last quorum of those leaders, and thus
@@ -118,8 +122,12 @@
   if (holder == 0 || !upstreams_.has_limits()) return;
   entry_leases_.record_holder(now, holder);
   eligible_entry_hosts_.erase(holder);
+  full_entry_hosts_.erase(holder);
   for (const auto& [incarnation, own] : own_leases_) {
-    if (reply.warmup_grants_size() >= max_granted) return;
+    if (reply.warmup_grants_size() >= max_granted) {
+      full_entry_hosts_.insert(holder);
+      return;
+    }
     const auto until = own.expires - entry_margin;
     if (!entry_leases_.grant(now, incarnation, holder, until)) continue;
     auto& grant = *reply.add_warmup_grants();
