flow: the selector asks spillover_policy first

Change: sums of load that a control host sends reach the selector, which computes the shares every 500 ms at most and draws the zone of a new flow by them. Without the setting or without recent figures the present rule decides. may_take_flows() is the one predicate that closes a zone to spillover. The added delay of a zone is the difference of the least times to an answer.

--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -62,6 +62,11 @@
   /// Makes the host not ready and starts the delays before its exit.
   void stop(time_point now) { readiness_.stop(now); }
 
+  /// Removes and returns the starts and ends of cross-zone spillover since the last call.
+  std::vector<spillover_policy::change> take_spillover_changes() {
+    return router_.selector().take_spillover_changes();
+  }
+
   bool is_ready() const { return readiness_.is_ready(); }
   bool is_stopping() const { return readiness_.is_stopping(); }
   /// Returns true when a stopping host is out of rotation or its grace period has passed.
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -53,6 +53,8 @@
   std::uint32_t route_tag = 0;              ///< forward: written into the packet
   /// Time since the opening; set for the first packet that shows that the caller has an answer.
   std::optional<milliseconds> answered_after = std::nullopt;
+  /// forward: the upstream's zone when it is not the zone of this host; valid until the next call
+  const std::string* other_zone = nullptr;
 };
 
 /// Returns the reason as used in logs and metrics, for instance "no_route".
@@ -98,6 +100,8 @@
   /// Removes idle flows and expired upstreams, at most every 100 ms.
   void tick(time_point now);
 
+  upstream_selector& selector() { return selector_; }
+  const upstream_selector& selector() const { return selector_; }
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
   const flow_table& flows() const { return flows_; }
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -46,6 +46,8 @@
                        reply.has_more_upstreams() ? flow_router::update_extent::partial
                                                   : flow_router::update_extent::complete);
   if (reply.has_liveness()) router_.record_liveness(now, reply.source(), reply.liveness());
+  if (reply.loads_size() > 0)
+    router_.selector().set_zone_loads(now, {reply.loads().begin(), reply.loads().end()});
   apply_declaration(now, reply, out);
   if (trust_of(reply) == declaration_trust::confirmed) router_.confirm(reply.declaration_version());
   router_.record_update_request(requested);
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -109,7 +109,7 @@
     if (!flow.is_answered) {
       flow.is_answered = true;
       answered_after = std::chrono::duration_cast<milliseconds>(now - flow.opened);
-      selector_.record_answer(now, *to);
+      selector_.record_answer(now, *to, now - flow.opened);
     }
   }
   if (head.is_end || head.is_reset) flows_.close(key);
@@ -121,7 +121,14 @@
 
 flow_decision flow_router::forward(const upstream_directory::entry& to,
                                    flow_decision::reason_type why) const {
-  return {action::forward, why, to.report.address, &to.report.id, to.route_tag, std::nullopt};
+  const auto is_other_zone = to.report.zone != settings_.selection.zone;
+  return {action::forward,
+          why,
+          to.report.address,
+          &to.report.id,
+          to.route_tag,
+          std::nullopt,
+          is_other_zone ? &to.report.zone : nullptr};
 }
 
 bool flow_router::apply(const wire::flow_declaration& declaration) {
@@ -164,6 +171,7 @@
   flows_.expire(now, idle_flow_timeout);
   const auto previous_size = upstreams_.size();
   upstreams_.remove_expired(now);
+  selector_.update_spillover(now, {upstreams_, flows_});
   if (upstreams_.size() == previous_size) return;
   selector_.index_services(upstreams_);
   selector_.remove_expired(upstreams_);
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -9,6 +9,11 @@
 constexpr std::uint32_t suspect_after_timeouts = 2;
 // Upstreams of this host's zone, and of the other zones, that are compared for a new flow.
 constexpr std::size_t max_compared = 32;
+// Control hosts send sums at most this often. Between sums, zones whose figures are too old lose
+// their shares.
+constexpr milliseconds spillover_interval{500};
+// A false report of many slots must not attract the flows of other zones.
+constexpr std::uint32_t max_counted_slots = 64;
 
 } // namespace
 
@@ -19,9 +24,19 @@
                                                            std::uint64_t excluded) {
   const auto listed = ready_upstreams_.find(service);
   if (listed == ready_upstreams_.end()) return nullptr;
-  const auto& [local, remote] = listed->second;
+  const auto& local = listed->second.local;
+  const auto& remote = listed->second.remote;
   if (local.size() + remote.size() == 1) excluded = 0;
   std::vector<upstream_candidate> candidates;
+  if (const auto* list = zone_by_policy(now, service, listed->second); list != nullptr) {
+    add_candidates(now, known, *list, excluded, candidates);
+    const auto is_usable = [](const auto& it) { return !it.is_suspect; };
+    if (std::any_of(candidates.begin(), candidates.end(), is_usable)) {
+      const auto chosen = choose_upstream(candidates, settings_.choice, engine_);
+      return known.upstreams.find(*chosen);
+    }
+    candidates.clear();
+  }
   add_candidates(now, known, local, excluded, candidates);
   if (std::none_of(candidates.begin(), candidates.end(), is_free))
     add_candidates(now, known, remote, excluded, candidates);
@@ -29,6 +44,65 @@
   return chosen ? known.upstreams.find(*chosen) : nullptr;
 }
 
+bool upstream_selector::may_take_flows(time_point now, const std::string& zone) const {
+  return zone == settings_.zone || !zone_health_.is_suspect(now, zone);
+}
+
+// A zone that was cut off since the last update of the shares gets no more flows.
+const std::vector<std::uint64_t>* upstream_selector::zone_by_policy(time_point now,
+                                                                    const std::string& service,
+                                                                    const ready_upstreams& listed) {
+  const auto* shares = spillover_.shares_of(service);
+  if (shares == nullptr) return nullptr;
+  auto point = std::uniform_real_distribution<double>(0, 1)(engine_);
+  auto chosen = listed.by_zone.end();
+  for (const auto& [zone, share] : *shares) {
+    if (point < share) {
+      if (may_take_flows(now, zone)) chosen = listed.by_zone.find(zone);
+      break;
+    }
+    point -= share;
+  }
+  return chosen == listed.by_zone.end() ? &listed.local : &chosen->second;
+}
+
+void upstream_selector::set_zone_loads(time_point now, std::vector<wire::zone_load> loads) {
+  zone_loads_ = std::move(loads);
+  zone_loads_arrival_ = now;
+}
+
+void upstream_selector::update_spillover(time_point now, const view& known) {
+  if (settings_.spillover == zone_spillover::off || now < next_spillover_update_) return;
+  next_spillover_update_ = now + spillover_interval;
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(now - zone_loads_arrival_);
+  for (const auto& [service, listed] : ready_upstreams_) {
+    auto change =
+        spillover_.update(service, zone_loads_, capacities_of(now, known, listed), elapsed);
+    if (change) spillover_changes_.push_back(std::move(*change));
+  }
+}
+
+spillover_policy::zone_capacities
+upstream_selector::capacities_of(time_point now, const view& known,
+                                 const ready_upstreams& listed) const {
+  spillover_policy::zone_capacities out;
+  const auto add = [&](const std::string& zone, const std::vector<std::uint64_t>& list) {
+    auto& capacity = out[zone];
+    capacity.delay_ms = zone_delays_.added_ms(settings_.zone, zone);
+    capacity.may_take_flows = may_take_flows(now, zone);
+    for (const auto it : list) {
+      const auto* upstream = known.upstreams.find(it);
+      if (upstream == nullptr || is_suspect(now, *upstream)) continue;
+      const auto speed = now < upstream->warmup_end ? settings_.choice.warming_speed : 1;
+      capacity.slots += speed * std::min(upstream->report.slots, max_counted_slots);
+    }
+  };
+  add(settings_.zone, listed.local);
+  for (const auto& [zone, list] : listed.by_zone)
+    add(zone, list);
+  return out;
+}
+
 void upstream_selector::add_candidates(time_point now, const view& known,
                                        const std::vector<std::uint64_t>& list,
                                        std::uint64_t excluded,
@@ -73,7 +147,11 @@
          now - it->second.last_timeout < settings_.suspect_period;
 }
 
-void upstream_selector::record_answer(time_point now, const upstream_directory::entry& upstream) {
+void upstream_selector::record_answer(time_point now, const upstream_directory::entry& upstream,
+                                      microseconds answered_after) {
+  // The opening packet of a flow whose first packet here shows an answer went through another host.
+  if (answered_after > microseconds(0))
+    zone_delays_.record(now, upstream.report.zone, answered_after);
   zone_health_.record_contact(upstream.report.zone, now);
   auto& observation = health_observations_[upstream.incarnation];
   observation.last_answer = now;
@@ -105,8 +183,10 @@
   upstreams.for_each([this](const auto& it) {
     if (it.report.condition != upstream_report::state::ready) return;
     auto& listed = ready_upstreams_[it.report.service];
-    auto& list = it.report.zone == settings_.zone ? listed.local : listed.remote;
+    const auto is_local = it.report.zone == settings_.zone;
+    auto& list = is_local ? listed.local : listed.remote;
     list.push_back(it.incarnation);
+    if (!is_local) listed.by_zone[it.report.zone].push_back(it.incarnation);
   });
 }
 
