flowd: settings, log lines and metrics of cross-zone spillover

Change: zone_spillover (adaptive or off, default off) and cross_zone_price; spillover_started and spillover_stopped with the figures behind the decision; spillover_share, flows_to_other_zones and bytes_to_other_zones.

--- a/include/zinniarelay/config/flow_settings.h
+++ b/include/zinniarelay/config/flow_settings.h
@@ -32,6 +32,9 @@
   /// Interval between the reports of one upstream.
   milliseconds report_interval() const { return report_interval_; }
   milliseconds stop_grace() const { return stop_grace_; } ///< from SIGTERM to the forced exit
+  bool has_adaptive_spillover() const { return has_adaptive_spillover_; }
+  /// Waiting time that one flow to another zone is worth.
+  milliseconds cross_zone_price() const { return cross_zone_price_; }
 
   friend bool operator==(const flow_settings&, const flow_settings&) = default;
 
@@ -48,6 +51,8 @@
   std::vector<endpoint> control_hosts_;
   milliseconds report_interval_{0};
   milliseconds stop_grace_{0};
+  bool has_adaptive_spillover_ = false;
+  milliseconds cross_zone_price_{0};
 };
 
 } // namespace zinnia
--- a/libraries/config/flow_settings.cpp
+++ b/libraries/config/flow_settings.cpp
@@ -9,6 +9,17 @@
 constexpr milliseconds default_report_interval{1'000};
 constexpr duration_range grace_range{milliseconds(1'000), milliseconds(600'000)};
 constexpr milliseconds default_stop_grace{6'000};
+// A flow never waits longer than its caller, which gives up after 12 s at most.
+constexpr duration_range price_range{milliseconds(0), milliseconds(12'000)};
+
+/// Reads `adaptive` or `off`; absent means off.
+bool read_spillover(yaml_map& map, finding_sink& sink) {
+  const auto value = map.text("zone_spillover", presence::optional).value_or("off");
+  if (value != "adaptive" && value != "off")
+    sink.report(map.place("zone_spillover"), "zone_spillover is " + in_quotes(value),
+                "adaptive or off");
+  return value == "adaptive";
+}
 
 } // namespace
 
@@ -30,6 +41,9 @@
                              .value_or(default_report_interval);
   out.stop_grace_ =
       map.duration("stop_grace", presence::optional, grace_range).value_or(default_stop_grace);
+  out.has_adaptive_spillover_ = read_spillover(map, sink);
+  out.cross_zone_price_ =
+      map.duration("cross_zone_price", presence::optional, price_range).value_or(milliseconds(0));
   map.report_unknown_keys();
 
   address_registry addresses(sink);
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -34,6 +34,8 @@
   out.router.selection.zone = settings.zone_name();
   // The timeout passes after three missing reports in a row.
   out.router.selection.report_timeout = settings.report_interval() * 3 + milliseconds(500);
+  if (settings.has_adaptive_spillover()) out.router.selection.spillover = zone_spillover::adaptive;
+  out.router.selection.cross_zone_price = settings.cross_zone_price();
   out.rotation.grace_period =
       std::max(settings.stop_grace() - exit_margin, out.rotation.rotation_delay);
   return out;
@@ -101,6 +103,7 @@
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
     host_.tick(now);
+    spillover_report_.log_changes(host_);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
@@ -210,6 +213,7 @@
   if (!number) return;
   platform::write_route_tag(bytes.subspan(packet_socket::headroom), decision.route_tag);
   platform::write_prefix(bytes.first<platform::prefix_size>(), *number);
+  spillover_report_.record(decision, bytes.size());
   socket_->queue(decision.destination, bytes);
 }
 
@@ -274,6 +278,7 @@
   metrics_.gauge_of("upstreams").set(static_cast<double>(host_.router().upstreams().size()));
   metrics_.gauge_of("declaration_version")
       .set(static_cast<double>(host_.router().routes().version()));
+  spillover_report_.publish(metrics_, host_);
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -3,6 +3,7 @@
 #include "packet_socket.h"
 #include "platform/packet_codec.h"
 #include "shared/notice_socket.h"
+#include "spillover_report.h"
 #include "update_client.h"
 #include "zinniarelay/config/flow_settings.h"
 #include "zinniarelay/config/settings_watch.h"
@@ -69,6 +70,7 @@
   metric_registry metrics_;
   distribution& answer_durations_;
   distribution& loop_gaps_; ///< times between iterations of the loop in run()
+  spillover_report spillover_report_;
   std::unique_ptr<packet_socket> socket_;
   std::unique_ptr<update_client> updates_;
   std::unique_ptr<notice_socket> notices_;
