--- a/libraries/flow/spillover_policy.cpp
+++ b/libraries/flow/spillover_policy.cpp
@@ -12,17 +12,20 @@
 // the first and for 0.33 at the second.
 constexpr double start_utilization = 0.6;
 constexpr double stop_utilization = 0.5;
-// Above this utilization the queues of some upstreams are full, and flows from other zones would
-// displace those of the zone's own callers.
-constexpr double max_utilization = 0.9;
-// Open flows per slot from which an overloaded zone may leave opening packets unanswered. Its rate
+// Flows from other zones do not raise a zone above this utilization: a flow then waits for 1.8
+// service times, and the zone's own callers would begin to miss their target too. Of 0.8 to 0.95,
+// 0.8 had the most flows in time at full load in benchmarks/zone_spillover.cpp.
+constexpr double max_utilization = 0.8;
+// Smaller differences between zones are within the noise of sums over a second.
+constexpr double min_difference = 0.1;
+// From this utilization in the wait model on, a zone may leave opening packets unanswered. Its rate
 // of opened flows then exceeds the rate that it serves.
 constexpr double overload_utilization = 0.85;
 constexpr double service_time_weight = 0.2; // of the latest estimate
 // After a start of the hosts the first sums cover less than a second, so that the estimated service
 // times are too long: in the model of the tests a zone at 0.4 of its capacity started spillover.
 constexpr int updates_before_start = 4;
-constexpr double gain = 0.5;         // share of the distance to the target per update
+constexpr double gain = 0.25;        // share of the distance to the target per update
 constexpr double max_increase = 0.1; // of a share per update
 constexpr double max_decrease = 0.2;
 constexpr double min_share = 0.01; // smaller ones are not worth a start
@@ -168,7 +171,7 @@
     const auto capacity = capacities.find(name);
     const auto is_usable = capacity != capacities.end() && capacity->second.may_take_flows;
     if (name == settings_.zone || !is_usable || zone.slots <= 0) continue;
-    if (zone.utilization >= own.utilization) continue;
+    if (zone.utilization >= own.utilization - min_difference) continue;
     double excess = 0;
     for (const auto& [other, it] : figures)
       if (it.utilization >= stop_utilization || other == settings_.zone)
