--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -63,7 +63,8 @@
     }
     point -= share;
   }
-  return chosen == listed.by_zone.end() ? &listed.local : &chosen->second;
+  if (chosen != listed.by_zone.end()) return &chosen->second;
+  return may_take_flows(now, settings_.zone) ? &listed.local : nullptr;
 }
 
 void upstream_selector::set_zone_loads(time_point now, std::vector<wire::zone_load> loads) {
@@ -92,7 +93,7 @@
     capacity.may_take_flows = may_take_flows(now, zone);
     for (const auto it : list) {
       const auto* upstream = known.upstreams.find(it);
-      if (upstream == nullptr || is_suspect(now, *upstream)) continue;
+      if (!capacity.may_take_flows || upstream == nullptr || is_suspect(now, *upstream)) continue;
       const auto speed = now < upstream->warmup_end ? settings_.choice.warming_speed : 1;
       capacity.slots += speed * std::min(upstream->report.slots, max_counted_slots);
     }
