--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -4,19 +4,25 @@
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/evacuated_zones.h"
 #include "zinniarelay/flow/flow_table.h"
+#include "zinniarelay/flow/spillover_policy.h"
 #include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/flow/warmup_tokens.h"
+#include "zinniarelay/flow/zone_delays.h"
 #include "zinniarelay/flow/zone_health.h"
 
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace zinnia {
 
+/// Whether sums over all entry hosts decide on flows to other zones.
+enum class zone_spillover { off, adaptive };
+
 struct upstream_selector_settings {
   std::string zone; ///< of this host
   /// An upstream is suspect when no report of it arrived for this long.
@@ -24,6 +30,9 @@
   /// An upstream that did not answer opening packets is suspect for this long.
   milliseconds suspect_period{1'000};
   choice_settings choice;
+  zone_spillover spillover = zone_spillover::off;
+  /// Waiting time that one flow to another zone is worth.
+  milliseconds cross_zone_price{0};
 };
 
 /// Selects the upstream of a new flow by load, zone and health (docs/design.md R38). Health is
@@ -31,7 +40,8 @@
 class upstream_selector {
 public:
   upstream_selector(upstream_selector_settings settings, random_engine engine)
-      : settings_(std::move(settings)), engine_(engine) {}
+      : settings_(std::move(settings)), engine_(engine),
+        spillover_({settings_.zone, settings_.cross_zone_price}) {}
 
   /// What the load of the upstreams is computed from.
   struct view {
@@ -39,8 +49,8 @@
     const flow_table& flows;
   };
 
-  /// Returns the upstream for a new flow; null when none is ready, or when all that are lack a token
-  /// (lacks_token()). The excluded upstream is chosen only if it is the only one.
+  /// Returns the upstream for a new flow; null when none is ready, or when all that are lack a
+  /// token (lacks_token()). The excluded upstream is chosen only if it is the only one.
   const upstream_directory::entry* select(time_point now, const view& known,
                                           const std::string& service, std::uint64_t excluded);
 
@@ -54,15 +64,27 @@
   /// Records that an opening packet for a service with a warm-up limit arrived.
   void record_demand(time_point now) { last_demand_ = now; }
   bool has_demand(time_point now) const;
-  /// Records that upstreams may have restarted unnoticed; until end_uncertainty(), those of services
-  /// with a limit need a token.
+  /// Records that upstreams may have restarted unnoticed; until end_uncertainty(), those of
+  /// services with a limit need a token.
   void begin_uncertainty() { certain_from_ = time_point::max(); }
   void end_uncertainty(time_point from) { certain_from_ = std::min(certain_from_, from); }
   warmup_tokens& tokens() { return tokens_; }
   const warmup_tokens& tokens() const { return tokens_; }
 
-  /// Records that a caller has an answer of an upstream.
-  void record_answer(time_point now, const upstream_directory::entry& upstream);
+  /// Replaces the sums of load by zone that a control host has sent.
+  void set_zone_loads(time_point now, std::vector<wire::zone_load> loads);
+  /// Moves the shares of spillover by the latest sums, at most every 500 ms.
+  void update_spillover(time_point now, const view& known);
+  const spillover_policy& spillover() const { return spillover_; }
+  const std::string& zone() const { return settings_.zone; }
+  /// Removes and returns the starts and ends of spillover since the last call.
+  std::vector<spillover_policy::change> take_spillover_changes() {
+    return std::exchange(spillover_changes_, {});
+  }
+
+  /// Records that a caller has an answer of an upstream, this long after the opening packet.
+  void record_answer(time_point now, const upstream_directory::entry& upstream,
+                     microseconds answered_after);
   /// Records that a caller repeated an opening packet that an upstream did not answer.
   void record_timeout(time_point now, const upstream_directory& upstreams, std::uint64_t upstream);
   /// Records contact with the zone of an upstream if its report arrived now.
@@ -94,8 +116,14 @@
     std::vector<std::uint64_t> local; ///< in the zone of this host
     std::vector<std::uint64_t> remote;
     bool has_evacuated = false; ///< others are in evacuated zones
+    std::map<std::string, std::vector<std::uint64_t>> by_zone;
   };
 
+  /// Returns the upstreams to compare for a new flow.
+  std::vector<upstream_candidate> candidates_for(time_point now, const view& known,
+                                                 const std::string& service,
+                                                 const ready_upstreams& listed,
+                                                 std::uint64_t excluded);
   /// Adds upstreams of the list, at most max_compared of them from a random position on.
   void add_candidates(time_point now, const view& known, const std::vector<std::uint64_t>& list,
                       std::uint64_t excluded, std::vector<upstream_candidate>& out);
@@ -104,6 +132,13 @@
   bool is_suspect(time_point now, const upstream_directory::entry& upstream) const;
   /// Returns true when an opening packet for the upstream needs a token.
   bool needs_token(const view& known, const upstream_directory::entry& upstream) const;
+  /// Returns true when new flows may go to upstreams of a zone.
+  bool may_take_flows(time_point now, const std::string& zone) const;
+  /// Returns the upstreams of the zone that the policy selects; null when the policy has no say.
+  const std::vector<std::uint64_t>* zone_by_policy(time_point now, const std::string& service,
+                                                   const ready_upstreams& listed);
+  spillover_policy::zone_capacities capacities_of(time_point now, const view& known,
+                                                  const ready_upstreams& listed) const;
 
   upstream_selector_settings settings_;
   random_engine engine_;
@@ -116,6 +151,12 @@
   bool lacks_token_ = false;
   time_point certain_from_; ///< end of the uncertainty
   std::optional<time_point> last_demand_;
+  spillover_policy spillover_;
+  zone_delays zone_delays_;
+  std::vector<wire::zone_load> zone_loads_;
+  time_point zone_loads_arrival_;
+  time_point next_spillover_update_;
+  std::vector<spillover_policy::change> spillover_changes_;
 };
 
 } // namespace zinnia
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -13,8 +13,14 @@
 constexpr milliseconds isolation_timeout{2'000};
 // Control hosts reply to entry hosts every 500 ms.
 constexpr milliseconds grant_timeout{1'500};
-// A host without opening packets for services with a limit for this long leaves the leases to others.
+// A host without opening packets for services with a limit for this long leaves the leases to
+// others.
 constexpr milliseconds demand_timeout{5'000};
+// Control hosts send sums at most this often. Between sums, zones whose figures are too old lose
+// their shares.
+constexpr milliseconds spillover_interval{500};
+// A false report of many slots must not attract the flows of other zones.
+constexpr std::uint32_t max_counted_slots = 64;
 
 } // namespace
 
@@ -27,19 +33,94 @@
   tokens_.advance(now);
   const auto listed = ready_upstreams_.find(service);
   if (listed == ready_upstreams_.end()) return nullptr;
-  const auto& [local, remote, has_evacuated] = listed->second;
-  if (has_evacuated) ++kept_away_;
-  if (local.size() + remote.size() == 1) excluded = 0;
-  std::vector<upstream_candidate> candidates;
-  add_candidates(now, known, local, excluded, candidates);
-  if (std::none_of(candidates.begin(), candidates.end(), is_free))
-    add_candidates(now, known, remote, excluded, candidates);
+  if (listed->second.has_evacuated) ++kept_away_;
+  if (listed->second.local.size() + listed->second.remote.size() == 1) excluded = 0;
+  const auto candidates = candidates_for(now, known, service, listed->second, excluded);
   const auto chosen = choose_upstream(candidates, settings_.choice, engine_);
   const auto* out = chosen ? known.upstreams.find(*chosen) : nullptr;
   if (out != nullptr && needs_token(known, *out)) tokens_.take(out->incarnation);
   return out;
 }
 
+// A zone that the policy selects and that has no usable upstream is left to the rule by this host's
+// own view.
+std::vector<upstream_candidate> upstream_selector::candidates_for(time_point now, const view& known,
+                                                                  const std::string& service,
+                                                                  const ready_upstreams& listed,
+                                                                  std::uint64_t excluded) {
+  std::vector<upstream_candidate> out;
+  if (const auto* list = zone_by_policy(now, service, listed); list != nullptr) {
+    add_candidates(now, known, *list, excluded, out);
+    const auto is_usable = [](const auto& it) { return !it.is_suspect; };
+    if (std::any_of(out.begin(), out.end(), is_usable)) return out;
+    out.clear();
+  }
+  add_candidates(now, known, listed.local, excluded, out);
+  if (std::none_of(out.begin(), out.end(), is_free))
+    add_candidates(now, known, listed.remote, excluded, out);
+  return out;
+}
+
+bool upstream_selector::may_take_flows(time_point now, const std::string& zone) const {
+  return zone == settings_.zone || !zone_health_.is_suspect(now, zone);
+}
+
+// A zone that was cut off since the last update of the shares gets no more flows.
+const std::vector<std::uint64_t>* upstream_selector::zone_by_policy(time_point now,
+                                                                    const std::string& service,
+                                                                    const ready_upstreams& listed) {
+  const auto* shares = spillover_.shares_of(service);
+  if (shares == nullptr) return nullptr;
+  auto point = std::uniform_real_distribution<double>(0, 1)(engine_);
+  auto chosen = listed.by_zone.end();
+  for (const auto& [zone, share] : *shares) {
+    if (point < share) {
+      if (may_take_flows(now, zone)) chosen = listed.by_zone.find(zone);
+      break;
+    }
+    point -= share;
+  }
+  if (chosen != listed.by_zone.end()) return &chosen->second;
+  return may_take_flows(now, settings_.zone) ? &listed.local : nullptr;
+}
+
+void upstream_selector::set_zone_loads(time_point now, std::vector<wire::zone_load> loads) {
+  zone_loads_ = std::move(loads);
+  zone_loads_arrival_ = now;
+}
+
+void upstream_selector::update_spillover(time_point now, const view& known) {
+  if (settings_.spillover == zone_spillover::off || now < next_spillover_update_) return;
+  next_spillover_update_ = now + spillover_interval;
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(now - zone_loads_arrival_);
+  for (const auto& [service, listed] : ready_upstreams_) {
+    auto change =
+        spillover_.update(service, zone_loads_, capacities_of(now, known, listed), elapsed);
+    if (change) spillover_changes_.push_back(std::move(*change));
+  }
+}
+
+spillover_policy::zone_capacities
+upstream_selector::capacities_of(time_point now, const view& known,
+                                 const ready_upstreams& listed) const {
+  spillover_policy::zone_capacities out;
+  const auto add = [&](const std::string& zone, const std::vector<std::uint64_t>& list) {
+    auto& capacity = out[zone];
+    capacity.delay_ms = zone_delays_.added_ms(settings_.zone, zone);
+    capacity.may_take_flows = may_take_flows(now, zone);
+    for (const auto it : list) {
+      const auto* upstream = known.upstreams.find(it);
+      if (!capacity.may_take_flows || upstream == nullptr || is_suspect(now, *upstream)) continue;
+      const auto speed = now < upstream->warmup_end ? settings_.choice.warming_speed : 1;
+      capacity.slots += speed * std::min(upstream->report.slots, max_counted_slots);
+    }
+  };
+  add(settings_.zone, listed.local);
+  for (const auto& [zone, list] : listed.by_zone)
+    add(zone, list);
+  return out;
+}
+
 void upstream_selector::add_candidates(time_point now, const view& known,
                                        const std::vector<std::uint64_t>& list,
                                        std::uint64_t excluded,
@@ -63,8 +144,8 @@
   }
 }
 
-// Uses the clock of the tokens, which never goes back: a held packet is decided with the time of its
-// arrival.
+// Uses the clock of the tokens, which never goes back: a held packet is decided with the time of
+// its arrival.
 bool upstream_selector::needs_token(const view& known,
                                     const upstream_directory::entry& upstream) const {
   if (known.upstreams.limit_of(upstream.report.service) == nullptr) return false;
@@ -119,7 +200,11 @@
          now - it->second.last_timeout < settings_.suspect_period;
 }
 
-void upstream_selector::record_answer(time_point now, const upstream_directory::entry& upstream) {
+void upstream_selector::record_answer(time_point now, const upstream_directory::entry& upstream,
+                                      microseconds answered_after) {
+  // The opening packet of a flow whose first packet here shows an answer went through another host.
+  if (answered_after > microseconds(0))
+    zone_delays_.record(now, upstream.report.zone, answered_after);
   zone_health_.record_contact(upstream.report.zone, now);
   auto& observation = health_observations_[upstream.incarnation];
   observation.last_answer = now;
@@ -156,8 +241,10 @@
       listed.has_evacuated = true;
       return;
     }
-    auto& list = it.report.zone == settings_.zone ? listed.local : listed.remote;
+    const auto is_local = it.report.zone == settings_.zone;
+    auto& list = is_local ? listed.local : listed.remote;
     list.push_back(it.incarnation);
+    if (!is_local) listed.by_zone[it.report.zone].push_back(it.incarnation);
   });
 }
 
