flow: load reports and shared health observations

Cause: each of 59 entry hosts learned with flows of its own callers that an upstream does not answer. load_reporter builds the reports of an entry host, load_summary combines them on a control host, and upstream_selector avoids the suspects of the other hosts.

The return is spread over the second after the suspect period instead, and ends at once when the upstream is no longer listed.

--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -59,6 +59,10 @@
   std::optional<milliseconds> record_iteration(time_point now);
   /// Removes idle flows and expired upstreams.
   void tick(time_point now) { router_.tick(now); }
+  /// Returns the load report to send to the control hosts now; no value when none is due.
+  std::optional<wire::flow_load> take_due_load(time_point now) {
+    return router_.take_due_load(now);
+  }
   /// Makes the host not ready and starts the delays before its exit.
   void stop(time_point now) { readiness_.stop(now); }
 
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -4,6 +4,7 @@
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/flow_table.h"
+#include "zinniarelay/flow/load_reporter.h"
 #include "zinniarelay/flow/packet_head.h"
 #include "zinniarelay/flow/route_table.h"
 #include "zinniarelay/flow/upstream_directory.h"
@@ -21,6 +22,8 @@
   /// After a suspension of the process, opening packets are dropped until an update that was
   /// requested since then has arrived, at most for this long.
   milliseconds outdated_view_timeout{1'500};
+  /// Set when this host exchanges load reports with the control hosts.
+  std::optional<load_reporter::identity> load_reports;
 };
 
 /// The decision on one packet.
@@ -64,7 +67,10 @@
 class flow_router {
 public:
   flow_router(flow_router_settings settings, random_engine engine)
-      : settings_(std::move(settings)), selector_(settings_.selection, engine) {}
+      : settings_(std::move(settings)), selector_(settings_.selection, engine) {
+    if (settings_.load_reports)
+      load_reporter_.emplace(*settings_.load_reports, random_engine(engine()));
+  }
 
   /// Decides on a packet that arrived from a caller, and counts the decision by its reason.
   flow_decision route(time_point now, const packet_head& head);
@@ -101,8 +107,15 @@
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
   const flow_table& flows() const { return flows_; }
+  const upstream_selector& selector() const { return selector_; }
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
+  /// Uses the suspects and the sums of a reply of a control host (docs/design/load-reports.md).
+  /// Ignored when this host sends no load reports.
+  void apply_loads(time_point now, const wire::news_reply& reply);
+  /// Returns the load report to send to the control hosts now; no value when none is due.
+  std::optional<wire::flow_load> take_due_load(time_point now);
+
 private:
   /// Decides on an opening packet.
   flow_decision open_flow(time_point now, const packet_head& head);
@@ -120,6 +133,7 @@
   upstream_directory upstreams_;
   flow_table flows_;
   upstream_selector selector_;
+  std::optional<load_reporter> load_reporter_;
   bool is_list_complete_ = false;
   std::uint64_t list_source_ = 0; ///< process whose list of upstreams was merged last
   bool is_last_update_complete_ = false;
--- a/include/zinniarelay/flow/flow_table.h
+++ b/include/zinniarelay/flow/flow_table.h
@@ -36,6 +36,8 @@
 
   /// Returns the number of open flows of an upstream in this table.
   std::uint32_t open_flows(std::uint64_t upstream) const;
+  /// Returns the numbers of open flows by upstream, without those that have none.
+  const std::unordered_map<std::uint64_t, std::uint32_t>& open_flows() const { return open_flows_; }
   std::size_t size() const { return flows_.size(); }
 
 private:
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flow.pb.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/flow_table.h"
@@ -7,6 +8,7 @@
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/flow/zone_health.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,8 +46,10 @@
 
   /// Records that a caller has an answer of an upstream.
   void record_answer(time_point now, const upstream_directory::entry& upstream);
-  /// Records that a caller repeated an opening packet that an upstream did not answer.
-  void record_timeout(time_point now, const upstream_directory& upstreams, std::uint64_t upstream);
+  /// Records that a caller repeated an opening packet that an upstream did not answer; `forwarded`
+  /// is when the upstream was sent that packet.
+  void record_timeout(time_point now, const upstream_directory& upstreams, std::uint64_t upstream,
+                      time_point forwarded);
   /// Records contact with the zone of an upstream if its report arrived now.
   void record_report(time_point now, const upstream_directory& upstreams, std::uint64_t upstream);
   /// Records when an upstream of the zone last sent a report.
@@ -53,18 +57,48 @@
   /// Records that an update of a control host arrived.
   void record_update(time_point now) { last_update_ = now; }
 
-  /// Follows changes of the directory's content.
-  void index_services(const upstream_directory& upstreams);
-  /// Removes the observations of upstreams that the directory no longer contains.
-  void remove_expired(const upstream_directory& upstreams);
+  /// Uses the suspects in the combined view of all entry hosts; they replace the earlier ones.
+  void set_suspects(time_point now, const upstream_directory& upstreams,
+                    const wire::suspect_upstreams& suspects);
+  /// Stores the sums of a reply. Those of earlier replies stay until they are 3 s old.
+  void set_zone_loads(time_point now, std::vector<wire::zone_load> loads);
+  /// A sum of the load reports of all entry hosts.
+  struct stored_zone_load {
+    wire::zone_load load;
+    time_point measured; ///< when the oldest report of the sum was received
+  };
+  /// Returns the sums that are not older than 3 s.
+  std::vector<stored_zone_load> zone_loads(time_point now) const;
 
-private:
   /// Health of one upstream, as observed from the packets of callers.
   struct health_observation {
     time_point last_answer;     ///< when a caller last showed that it had an answer
     time_point last_timeout;    ///< when a caller last repeated an unanswered opening packet
+    time_point last_forwarded;  ///< when the upstream was sent that packet
     std::uint32_t timeouts = 0; ///< unanswered opening packets since the last answer
   };
+  const std::unordered_map<std::uint64_t, health_observation>& health_observations() const {
+    return health_observations_;
+  }
+  /// Returns when an event last occurred that other hosts should learn of at once: an opening
+  /// packet stayed unanswered, or a suspect of the others answered.
+  time_point last_notable_event() const { return last_notable_event_; }
+  /// Returns the number of upstreams that count as suspect because of other hosts, including those
+  /// that return gradually.
+  std::size_t shared_suspects() const { return shared_suspects_.size(); }
+
+  /// Follows changes of the directory's content.
+  void index_services(const upstream_directory& upstreams);
+  /// Removes the observations of upstreams that the directory no longer contains.
+  void remove_expired(const upstream_directory& upstreams);
+
+private:
+  /// An upstream that other hosts found to be unresponsive.
+  struct shared_suspect {
+    time_point observed;  ///< last observation
+    time_point avoided_until; ///< no opening packet is sent to it before
+    time_point probed_until;  ///< an opening packet may still be answered until then
+  };
   /// The ready upstreams of a service, by incarnation.
   struct ready_upstreams {
     std::vector<std::uint64_t> local; ///< in the zone of this host
@@ -77,6 +111,11 @@
   upstream_candidate candidate_of(time_point now, const view& known,
                                   const upstream_directory::entry& upstream) const;
   bool is_suspect(time_point now, const upstream_directory::entry& upstream) const;
+  bool is_shared_suspect(time_point now, std::uint64_t upstream) const;
+  /// Records the selection of an upstream that returns gradually.
+  void record_probe(time_point now, std::uint64_t upstream);
+  /// Keeps the latest suspects of each service and zone, at most half of its upstreams.
+  void limit_shared_suspects(const upstream_directory& upstreams);
 
   upstream_selector_settings settings_;
   random_engine engine_;
@@ -84,6 +123,10 @@
   zone_health zone_health_;
   std::map<std::string, ready_upstreams> ready_upstreams_; ///< by service
   std::optional<time_point> last_update_;
+  std::unordered_map<std::uint64_t, shared_suspect> shared_suspects_; ///< by incarnation
+  /// By service, zone of the callers and zone of the upstreams.
+  std::map<std::array<std::string, 3>, stored_zone_load> zone_loads_;
+  time_point last_notable_event_;
 };
 
 } // namespace zinnia
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -10,6 +10,8 @@
 // The owner's loop runs at least every 50 ms. After a longer gap the process was suspended or
 // stopped, and its view of upstreams may be outdated.
 constexpr milliseconds min_suspension{1'000};
+// The ages in a reply count from when it was sent, which may be as early as its request.
+constexpr milliseconds max_load_age{3'000};
 
 } // namespace
 
@@ -48,6 +50,7 @@
   if (reply.has_liveness()) router_.record_liveness(now, reply.source(), reply.liveness());
   apply_declaration(now, reply, out);
   if (trust_of(reply) == declaration_trust::confirmed) router_.confirm(reply.declaration_version());
+  if (now - requested <= max_load_age) router_.apply_loads(now, reply);
   router_.record_update_request(requested);
   last_update_ = now;
   readiness_.set_serving(router_.routes().version() > 0, router_.has_upstreams());
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -82,7 +82,7 @@
     // The caller sent another copy because it got no answer: the upstream is full,
     // unreachable or has crashed.
     if (head.acknowledged > existing->opening_copies)
-      selector_.record_timeout(now, upstreams_, existing->upstream);
+      selector_.record_timeout(now, upstreams_, existing->upstream, existing->opened);
     excluded = existing->upstream;
     why = reason::moved;
   }
@@ -92,6 +92,9 @@
   if (chosen == nullptr) return decision_of(action::reset, reason::no_upstream);
   auto& flow = flows_.open(now, key, chosen->incarnation);
   flow.opening_copies = head.acknowledged;
+  // Later copies of the packet reach other hosts too, where the flow would count again.
+  if (load_reporter_ && why == reason::opened && head.acknowledged == 0)
+    load_reporter_->record_opening(*chosen);
   return forward(*chosen, why);
 }
 
@@ -158,6 +161,17 @@
     selector_.record_zone_contact(it.zone(), now - milliseconds(it.age_ms()));
 }
 
+void flow_router::apply_loads(time_point now, const wire::news_reply& reply) {
+  if (!load_reporter_) return;
+  if (reply.has_suspects()) selector_.set_suspects(now, upstreams_, reply.suspects());
+  selector_.set_zone_loads(now, {reply.loads().begin(), reply.loads().end()});
+}
+
+std::optional<wire::flow_load> flow_router::take_due_load(time_point now) {
+  if (!load_reporter_) return std::nullopt;
+  return load_reporter_->take_due(now, upstreams_, flows_, selector_);
+}
+
 void flow_router::tick(time_point now) {
   if (now < next_expiry_) return;
   next_expiry_ = now + expiry_period;
