control, config, daemons: exchange of load reports

The setting load_reports (off by default) of both daemons enables the exchange. Reports arrive as host_notice datagrams, whose buffer now takes 1,400 bytes, and are accepted from entry hosts that sent a presence notice. A new suspect is an urgent update.

test_control load_reports_tests passes: urgent only until the host has the suspect, unknown senders, restart with a saved view, nothing without the setting.

--- a/include/zinniarelay/config/control_settings.h
+++ b/include/zinniarelay/config/control_settings.h
@@ -55,6 +55,8 @@
   /// Addresses of the operators' HTTP interface and of the metrics; absent when not served.
   const std::optional<endpoint>& operator_address() const { return operator_address_; }
   const std::optional<endpoint>& metrics_address() const { return metrics_address_; }
+  /// Whether this host accepts load reports of entry hosts.
+  bool has_load_reports() const { return has_load_reports_; }
   /// Names of this host and its zone in the log.
   const std::string& name() const { return name_; }
   const std::string& zone_name() const { return zone_name_; }
@@ -74,6 +76,7 @@
   std::optional<group_formation> group_;
   std::optional<endpoint> operator_address_;
   std::optional<endpoint> metrics_address_;
+  bool has_load_reports_ = false;
   std::string name_;
   std::string zone_name_;
 };
--- a/include/zinniarelay/config/flow_settings.h
+++ b/include/zinniarelay/config/flow_settings.h
@@ -32,6 +32,8 @@
   /// Interval between the reports of one upstream.
   milliseconds report_interval() const { return report_interval_; }
   milliseconds stop_grace() const { return stop_grace_; } ///< from SIGTERM to the forced exit
+  /// Whether this host exchanges load reports with the control hosts.
+  bool has_load_reports() const { return has_load_reports_; }
 
   friend bool operator==(const flow_settings&, const flow_settings&) = default;
 
@@ -48,6 +50,7 @@
   std::vector<endpoint> control_hosts_;
   milliseconds report_interval_{0};
   milliseconds stop_grace_{0};
+  bool has_load_reports_ = false;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -12,6 +12,7 @@
 #include "zinniarelay/flow/compact_replies.h"
 #include "zinniarelay/flow/declaration_contents.h"
 #include "zinniarelay/flow/declaration_history.h"
+#include "zinniarelay/flow/load_summary.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
 #include "zinniarelay/replication/log_store.h"
@@ -38,6 +39,7 @@
   std::size_t peers_in_reply = 16;       ///< entry hosts listed in one reply to Sync
   /// Set for a group that forms and repairs itself (docs/design.md R33).
   std::optional<group_settings> group;
+  bool has_load_reports = false; ///< whether load reports of entry hosts are accepted
 };
 
 /// The control role: replicated log, applied state, replies to operators and entry hosts,
@@ -168,6 +170,12 @@
   /// Returns true when the reply to an entry host must not be delayed: it lacks a change of
   /// content, or all updates of this process. A request that requires a quorum waits for one.
   bool has_urgent_update(time_point now, const wire::news_request& request) const;
+  /// Records a load report that an entry host sent from an address (docs/design/load-reports.md).
+  /// Ignored without has_load_reports.
+  void record_load(time_point now, const endpoint& from, const wire::flow_load& report);
+  const load_summary& loads() const { return loads_; }
+  /// Returns the upstreams that have become suspect since the last call.
+  std::vector<std::uint64_t> take_new_suspects() { return loads_.take_new_suspects(); }
   /// Returns a random number that distinguishes this process from an earlier one at the same
   /// address.
   std::uint64_t source() const { return source_; }
@@ -224,6 +232,11 @@
   void add_liveness(time_point now, const wire::news_request& request, wire::news_reply& reply);
   /// Adds the committed declaration, as a part or a change where the entry host accepts one.
   void add_declaration(time_point now, const wire::news_request& request, wire::news_reply& reply);
+  /// Returns true when the entry host lacks a suspect upstream.
+  bool has_urgent_suspects(time_point now, const wire::news_request& request) const;
+  void add_load_metrics(time_point now, wire::metrics_reply& out) const;
+  /// Adds the suspect upstreams and the sums of the load reports.
+  void add_loads(time_point now, const wire::news_request& request, wire::news_reply& reply);
   bool has_quorum(time_point now) const;
   /// Whether this host serves its restored view until its first contact with a quorum.
   bool serves_restored_view(time_point now) const;
@@ -256,6 +269,7 @@
   time_point started_;
   upstream_directory upstreams_;
   start_notices notices_;
+  load_summary loads_;
   compact_replies compact_replies_;
   declaration_contents declaration_contents_;
   struct {
--- a/include/zinniarelay/control/start_notices.h
+++ b/include/zinniarelay/control/start_notices.h
@@ -15,6 +15,8 @@
 public:
   /// Records that an entry host asks for notices.
   void record_presence(time_point now, const endpoint& entry_host);
+  /// Returns true when an entry host has asked for notices recently.
+  bool is_present(time_point now, const endpoint& entry_host) const;
   /// Restores the entry hosts that were present before the start, which then get notices.
   void restore(time_point now, const std::vector<endpoint>& entry_hosts);
   /// Returns the entry hosts to notify now. Notices are repeated for a second, because an entry
--- a/libraries/config/control_settings.cpp
+++ b/libraries/config/control_settings.cpp
@@ -59,6 +59,7 @@
   out.name_ = map.text("name", presence::optional).value_or(std::to_string(out.control_.value));
   out.operator_address_ = map.address("operator_address", presence::optional);
   out.metrics_address_ = map.address("metrics_address", presence::optional);
+  out.has_load_reports_ = read_switch(map, "load_reports", sink);
   out.address_ = map.address("address", presence::required).value_or(endpoint{});
   out.listen_address_ = map.address("listen_address", presence::optional).value_or(out.address_);
   out.cluster_ = map.number("cluster", presence::required, identifier_range).value_or(0);
--- a/libraries/config/flow_settings.cpp
+++ b/libraries/config/flow_settings.cpp
@@ -30,6 +30,10 @@
                              .value_or(default_report_interval);
   out.stop_grace_ =
       map.duration("stop_grace", presence::optional, grace_range).value_or(default_stop_grace);
+  out.has_load_reports_ = read_switch(map, "load_reports", sink);
+  if (out.has_load_reports_ && !out.notice_address_)
+    sink.report(map.place("load_reports"), "load_reports is on without notice_address",
+                "notice_address, from which the reports are sent");
   map.report_unknown_keys();
 
   address_registry addresses(sink);
--- a/libraries/config/setting_checks.cpp
+++ b/libraries/config/setting_checks.cpp
@@ -74,4 +74,12 @@
   return std::nullopt;
 }
 
+bool read_switch(yaml_map& map, std::string_view key, finding_sink& sink) {
+  const auto text = map.text(key, presence::optional);
+  if (!text || *text == "off") return false;
+  if (*text == "on") return true;
+  sink.report(map.place(key), std::string(key) + " is " + *text, "on or off");
+  return false;
+}
+
 } // namespace zinnia
--- a/libraries/config/setting_checks.h
+++ b/libraries/config/setting_checks.h
@@ -40,6 +40,9 @@
 std::vector<endpoint> read_seeds(yaml_map& map, std::string_view key, std::string_view port_key,
                                  finding_sink& sink);
 
+/// Reads `on` or `off`; a missing key is off.
+bool read_switch(yaml_map& map, std::string_view key, finding_sink& sink);
+
 enum class path_kind { file, folder };
 
 /// Reads the path of an existing file or folder; a relative path starts at `base`.
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -96,6 +96,7 @@
   opened.restored_declaration_ = committed_declaration();
   opened.upstreams_ = std::move(upstreams_);
   opened.notices_ = std::move(notices_);
+  opened.loads_ = std::move(loads_);
   opened.last_tick_ = last_tick_;
   opened.resumed_ = resumed_;
   *this = std::move(opened);
@@ -115,6 +116,7 @@
   step(now, raft_tick{});
   expire_hosts(now);
   upstreams_.remove_expired(now);
+  loads_.tick(now);
   maintain_group(now);
 }
 
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -239,6 +239,7 @@
   add_declaration(now, request, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
+  add_loads(now, request, out);
   for (auto& it : member_addresses(request.zone()))
     out.add_control_hosts(std::move(it));
   return out;
@@ -303,7 +304,8 @@
       has_quorum(now) || (serves_restored_view(now) && restored_declaration_.version() > 0);
   if (request.quorum_required() && !can_serve) return false;
   return request.source() != source_ || committed_declaration().version() > request.version() ||
-         upstreams_.content_position() > request.position();
+         upstreams_.content_position() > request.position() ||
+         has_urgent_suspects(now, request);
 }
 
 } // namespace zinnia
--- a/libraries/control/control_host_operators.cpp
+++ b/libraries/control/control_host_operators.cpp
@@ -306,6 +306,7 @@
     metric.set_name(name);
     metric.set_value(value);
   }
+  if (settings_.has_load_reports) add_load_metrics(now, out);
   return out;
 }
 
--- a/libraries/control/start_notices.cpp
+++ b/libraries/control/start_notices.cpp
@@ -20,6 +20,11 @@
   if (present_.size() < max_present || present_.contains(entry_host)) present_[entry_host] = now;
 }
 
+bool start_notices::is_present(time_point now, const endpoint& entry_host) const {
+  const auto it = present_.find(entry_host);
+  return it != present_.end() && now - it->second <= presence_timeout;
+}
+
 void start_notices::restore(time_point now, const std::vector<endpoint>& entry_hosts) {
   restored_ = entry_hosts;
   restored_at_ = now;
--- a/services/controld/control_server.cpp
+++ b/services/controld/control_server.cpp
@@ -87,6 +87,10 @@
     shared_.host.notices().record_presence(monotonic_now(), entry_host);
   }
 
+  void record_load(const endpoint& entry_host, const wire::flow_load& report) override {
+    flows_.record_load(entry_host, report);
+  }
+
   std::vector<endpoint> take_due_notices() override {
     const std::lock_guard lock(shared_.mutex);
     return shared_.host.notices().take_due(monotonic_now());
--- a/services/controld/control_server.h
+++ b/services/controld/control_server.h
@@ -31,6 +31,8 @@
   virtual void set_seeds(std::vector<std::string> seeds) = 0;
   /// Records that an entry host asks for notices of the next start.
   virtual void record_presence(const endpoint& entry_host) = 0;
+  /// Records the load report of an entry host.
+  virtual void record_load(const endpoint& entry_host, const wire::flow_load& report) = 0;
   /// Returns the entry hosts to notify now of the start of this host.
   virtual std::vector<endpoint> take_due_notices() = 0;
   /// Returns the random number of this process.
--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds join_timeout{400};
 constexpr milliseconds join_interval{300};
 constexpr milliseconds replicator_refresh_interval{200};
+constexpr std::uint32_t suspect_lines_per_second = 10;
 
 } // namespace
 
@@ -22,6 +23,7 @@
                                            flow_control_service_settings settings,
                                            std::function<void()> execute_effects)
     : shared_(shared), settings_(std::move(settings)), execute_effects_(std::move(execute_effects)),
+      suspect_lines_(suspect_lines_per_second),
       reply_bytes_(metrics_.distribution_of("control_update_reply_bytes")) {}
 
 flow_control_service::~flow_control_service() {
--- a/services/controld/flow_control_service.h
+++ b/services/controld/flow_control_service.h
@@ -6,6 +6,7 @@
 #include "zinniarelay/control/control_host.h"
 #include "zinniarelay/control/flow_operations.h"
 #include "zinniarelay/control/update_queue.h"
+#include "zinniarelay/observe/log_rate_limiter.h"
 #include "zinniarelay/observe/metric_registry.h"
 
 #include <atomic>
@@ -52,6 +53,9 @@
   /// Logs a newly applied declaration and wakes the view writer. Called with the shared mutex held,
   /// when the host may have applied entries.
   void on_progress();
+  /// Records the load report of an entry host and logs upstreams that become suspect by it. Called
+  /// without the shared mutex.
+  void record_load(const endpoint& entry_host, const wire::flow_load& report);
   /// Sends the replies to entry hosts that are due. Called without the shared mutex.
   void send_updates();
 
@@ -115,6 +119,7 @@
   std::unique_ptr<view_writer> view_writer_;
   std::vector<std::thread> workers_;
   std::uint64_t announced_version_ = 0;
+  log_rate_limiter suspect_lines_;
   metric_registry metrics_;
   distribution& reply_bytes_; ///< sizes of the replies to entry hosts
 };
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -40,6 +40,7 @@
   out.cluster = settings.cluster();
   for (const auto& it : settings.founding_members())
     out.founders.push_back(member_of(it.id, it.address, it.zone));
+  out.has_load_reports = settings.has_load_reports();
   if (settings.group()) {
     out.group.emplace();
     out.group->tolerated_losses = settings.group()->tolerated_losses;
@@ -104,9 +105,12 @@
 // Entry hosts ask for notices by datagrams, and get them when this host starts.
 void exchange_notices(notice_socket& socket, controld::control_server& server,
                       const std::string& address) {
-  while (const auto received = socket.receive())
+  while (const auto received = socket.receive()) {
     if (received->notice.kind() == wire::host_notice::entry_host_present)
       server.record_presence(received->sender);
+    if (received->notice.kind() == wire::host_notice::load_reported)
+      server.record_load(received->sender, received->notice.load());
+  }
   wire::host_notice notice;
   notice.set_kind(wire::host_notice::control_host_started);
   notice.set_control_host(address);
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -36,6 +36,8 @@
   out.router.selection.report_timeout = settings.report_interval() * 3 + milliseconds(500);
   out.rotation.grace_period =
       std::max(settings.stop_grace() - exit_margin, out.rotation.rotation_delay);
+  if (settings.has_load_reports())
+    out.router.load_reports = {settings.name(), settings.zone_name()};
   return out;
 }
 
@@ -77,7 +79,8 @@
   }
   updates_ = std::make_unique<update_client>(
       update_client::identity{settings_.name(), settings_.availability_zone().value,
-                              host_settings(settings_).router.selection.report_timeout},
+                              host_settings(settings_).router.selection.report_timeout,
+                              settings_.has_load_reports()},
       addresses_of(settings_.control_hosts()), random_engine(engine_()), metrics_);
   return success();
 }
@@ -101,6 +104,7 @@
     apply_updates(now);
     if (count > 0) handle_packets(now, count);
     host_.tick(now);
+    send_load(now);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
@@ -131,6 +135,21 @@
       notices_->send(address.value(), presence);
 }
 
+void flow_daemon::send_load(time_point now) {
+  auto load = host_.take_due_load(now);
+  if (!load || !notices_) return;
+  wire::host_notice notice;
+  notice.set_kind(wire::host_notice::load_reported);
+  *notice.mutable_load() = std::move(*load);
+  for (const auto& it : updates_->control_hosts()) {
+    const auto address = endpoint::parse(it);
+    if (!address.has_value()) continue;
+    notices_->send(address.value(), notice);
+    ++loads_sent_;
+    load_bytes_sent_ += notice.ByteSizeLong();
+  }
+}
+
 void flow_daemon::detect_suspension(time_point now) {
   const auto gap = now - std::exchange(last_iteration_, now);
   loop_gaps_.record(std::chrono::duration<double, std::milli>(gap).count());
@@ -274,7 +293,17 @@
   metrics_.gauge_of("upstreams").set(static_cast<double>(host_.router().upstreams().size()));
   metrics_.gauge_of("declaration_version")
       .set(static_cast<double>(host_.router().routes().version()));
+  if (settings_.has_load_reports()) publish_loads();
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
+void flow_daemon::publish_loads() {
+  const auto& selector = host_.router().selector();
+  metrics_.gauge_of("load_reports_sent").set(static_cast<double>(loads_sent_));
+  metrics_.gauge_of("load_report_bytes_sent").set(static_cast<double>(load_bytes_sent_));
+  metrics_.gauge_of("shared_suspects").set(static_cast<double>(selector.shared_suspects()));
+  metrics_.gauge_of("zone_loads")
+      .set(static_cast<double>(selector.zone_loads(monotonic_now()).size()));
+}
+
 } // namespace zinnia::flowd
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -44,6 +44,8 @@
   void reload(const std::filesystem::path& settings_file);
   /// Receives notices of control hosts that have started, and asks for the next ones.
   void exchange_notices(time_point now);
+  /// Sends a load report to the control hosts when one is due.
+  void send_load(time_point now);
   /// Detects that the process did not run for a while.
   void detect_suspension(time_point now);
   void apply_updates(time_point now);
@@ -59,6 +61,8 @@
   void log_decision(time_point now, const packet_head& head, const flow_decision& decision);
   void log_status(time_point now);
   void publish(time_point now);
+  /// Publishes the metrics of load reports.
+  void publish_loads();
   http_response answer(const http_request& request);
 
   flow_settings settings_;
@@ -82,6 +86,8 @@
   time_point next_presence_;
   std::uint64_t malformed_ = 0;
   std::uint64_t unsent_ = 0; ///< datagrams that the system refused
+  std::uint64_t loads_sent_ = 0;
+  std::uint64_t load_bytes_sent_ = 0;
 };
 
 } // namespace zinnia::flowd
--- a/services/flowd/update_client.cpp
+++ b/services/flowd/update_client.cpp
@@ -100,6 +100,8 @@
   declaration_parts_.describe(out);
   out.set_source(received.source);
   out.set_position(received.position);
+  out.set_accepts_loads(self_.accepts_loads);
+  out.set_suspects_position(received.suspects_position);
   out.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
   return out;
 }
@@ -278,9 +280,16 @@
 // The account of upstreams that report applies to the list of one process. After a reply of another
 // one, the next request begins a new list.
 void update_client::record_position(const std::string& address, const wire::news_reply& reply) {
+  // A reply without suspects leaves those of earlier replies of its process.
+  const auto previous = positions_.find(address);
+  const bool is_same = previous != positions_.end() && previous->second.source == reply.source();
+  const auto suspects_position = reply.has_suspects() ? reply.suspects().position()
+                                 : is_same            ? previous->second.suspects_position
+                                                      : 0;
   positions_.clear();
   if (reply.from_position() == 0) list_source_ = reply.source();
-  if (reply.source() == list_source_) positions_[address] = {reply.source(), reply.position()};
+  if (reply.source() == list_source_)
+    positions_[address] = {reply.source(), reply.position(), suspects_position};
 }
 
 void update_client::record_failure(const std::string& address) {
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -27,6 +27,7 @@
     std::string host;
     std::uint32_t zone = 0;
     milliseconds report_timeout; ///< an upstream without a report for longer is overdue
+    bool accepts_loads = false;  ///< replies may contain load reports of all entry hosts
   };
 
   /// The engine orders the seeds and varies the pauses, so that entry hosts which start at the
@@ -61,6 +62,7 @@
   struct received_position {
     std::uint64_t source = 0;
     std::uint64_t position = 0;
+    std::uint64_t suspects_position = 0;
   };
 
   using stub = wire::flow_control::Stub;
--- a/services/shared/notice_socket.h
+++ b/services/shared/notice_socket.h
@@ -73,7 +73,7 @@
   std::uint64_t malformed() const { return malformed_; }
 
 private:
-  static constexpr std::size_t max_notice_bytes = 512;
+  static constexpr std::size_t max_notice_bytes = 1'400; // of a load report
   static constexpr std::size_t max_skipped = 64; // datagrams
 
   notice_socket() = default;
