--- a/include/zinniarelay/flow/load_summary.h
+++ b/include/zinniarelay/flow/load_summary.h
@@ -80,7 +80,7 @@
     time_point found;
   };
   struct upstream_view {
-    std::optional<time_point> last_answer; ///< at any host
+    std::optional<time_point> last_answer;      ///< at any host
     std::vector<unanswered_opening> unanswered; ///< forwarded after the last answer, one a host
     /// The two hosts with the latest events.
     endpoint last_observer;
@@ -99,17 +99,21 @@
     std::size_t next_load = 0; ///< position in the sums
   };
 
-  outcome check(time_point now, const endpoint& from, sender presence, const wire::flow_load& report) const;
+  outcome check(time_point now, const endpoint& from, sender presence,
+                const wire::flow_load& report) const;
   void merge(time_point now, const endpoint& from, const wire::upstream_observation& seen);
   static double permitted_bytes(time_point now, const receiver_state& to);
   void add_loads(time_point now, receiver_state& to, wire::news_reply& reply);
   const std::vector<wire::zone_load>& ranked_loads(time_point now);
+  const wire::suspect_upstreams& listed_suspects(time_point now);
 
   std::map<endpoint, reported_host> hosts_;
   std::unordered_map<std::uint64_t, upstream_view> upstreams_; ///< by incarnation
   std::unordered_map<std::string, receiver_state> receivers_;  ///< by name
-  std::uint64_t position_ = 0; ///< grows with each new suspect
+  std::uint64_t position_ = 0;                                 ///< grows with each new suspect
   std::vector<std::uint64_t> new_suspects_;
+  wire::suspect_upstreams listed_; ///< in the last replies
+  std::optional<time_point> listed_at_;
   std::vector<wire::zone_load> ranked_;
   std::optional<time_point> ranked_at_;
   std::optional<time_point> last_tick_;
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -95,7 +95,7 @@
 private:
   /// An upstream that other hosts found to be unresponsive.
   struct shared_suspect {
-    time_point observed;  ///< last observation
+    time_point observed;      ///< last observation
     time_point avoided_until; ///< no opening packet is sent to it before
     time_point probed_until;  ///< an opening packet may still be answered until then
   };
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -304,8 +304,7 @@
       has_quorum(now) || (serves_restored_view(now) && restored_declaration_.version() > 0);
   if (request.quorum_required() && !can_serve) return false;
   return request.source() != source_ || committed_declaration().version() > request.version() ||
-         upstreams_.content_position() > request.position() ||
-         has_urgent_suspects(now, request);
+         upstreams_.content_position() > request.position() || has_urgent_suspects(now, request);
 }
 
 } // namespace zinnia
--- a/libraries/flow/load_reporter.cpp
+++ b/libraries/flow/load_reporter.cpp
@@ -3,6 +3,9 @@
 #include "zinniarelay/flow/load_summary.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
 #include <vector>
 
 namespace zinnia {
@@ -56,7 +59,7 @@
   if (is_regular) {
     const std::chrono::duration<double> elapsed = now - *last_regular_;
     for (auto& [key, count] : opened_)
-      count = static_cast<std::uint32_t>(count / elapsed.count() + 0.5);
+      count = static_cast<std::uint32_t>(std::lround(count / elapsed.count()));
     opened_per_s_ = std::exchange(opened_, {});
     last_regular_ = now;
     next_regular_ = now + next_interval();
--- a/libraries/flow/load_summary.cpp
+++ b/libraries/flow/load_summary.cpp
@@ -40,6 +40,7 @@
 constexpr std::size_t max_loads_bytes = 450;
 constexpr milliseconds loads_interval{500};
 constexpr milliseconds ranking_lifetime{100};
+constexpr milliseconds list_lifetime{20};
 constexpr milliseconds receiver_lifetime{10'000};
 constexpr milliseconds expiry_period{500};
 
@@ -71,13 +72,13 @@
 
 const char* name_of(load_summary::outcome value) {
   constexpr std::array<const char*, load_summary::outcome_count> names{
-      "accepted", "malformed",   "other_format",  "unknown_sender",
+      "accepted", "malformed",   "other_format",   "unknown_sender",
       "replayed", "implausible", "too_many_hosts", "outdated"};
   return names.at(static_cast<std::size_t>(value));
 }
 
-load_summary::outcome load_summary::check(time_point now, const endpoint& from,
-                                          sender presence, const wire::flow_load& report) const {
+load_summary::outcome load_summary::check(time_point now, const endpoint& from, sender presence,
+                                          const wire::flow_load& report) const {
   if (report.format() != load_report_format) return outcome::other_format;
   if (!is_well_formed(report)) return outcome::malformed;
   if (presence == sender::unknown) return outcome::unknown_sender;
@@ -87,8 +88,7 @@
   if (known == hosts_.end())
     return hosts_.size() < max_hosts ? outcome::accepted : outcome::too_many_hosts;
   const auto& last = known->second;
-  const bool is_repeated =
-      report.process() == last.process && report.sequence() <= last.sequence;
+  const bool is_repeated = report.process() == last.process && report.sequence() <= last.sequence;
   return is_repeated || report.process() == last.previous_process ? outcome::replayed
                                                                   : outcome::accepted;
 }
@@ -137,9 +137,9 @@
   const auto forwarded = now - milliseconds(seen.opening_age_ms());
   if (has_unanswered && (!view.last_answer || forwarded > *view.last_answer)) {
     if (view.unanswered.size() >= max_observers)
-      view.unanswered.erase(std::min_element(
-          view.unanswered.begin(), view.unanswered.end(),
-          [](const auto& lhs, const auto& rhs) { return lhs.found < rhs.found; }));
+      view.unanswered.erase(
+          std::min_element(view.unanswered.begin(), view.unanswered.end(),
+                           [](const auto& lhs, const auto& rhs) { return lhs.found < rhs.found; }));
     view.unanswered.push_back({from, seen.unanswered(), forwarded, now - unanswered_age});
   }
   view.is_suspect = view.suspect_since(now).has_value();
@@ -161,8 +161,7 @@
   }
   const bool has_other = other_observer != endpoint{} && now - other_event <= max_age;
   const bool is_unresponsive =
-      observers >= min_observers ||
-      (observers == 1 && !has_other && count >= min_unanswered_alone);
+      observers >= min_observers || (observers == 1 && !has_other && count >= min_unanswered_alone);
   if (!is_unresponsive || now - *latest > suspect_period) return std::nullopt;
   return latest;
 }
@@ -230,7 +229,7 @@
   to.permitted_bytes = permitted_bytes(now, to);
   to.refilled = now;
   if (to.permitted_bytes >= max_suspects_bytes) {
-    *reply.mutable_suspects() = suspects(now);
+    *reply.mutable_suspects() = listed_suspects(now);
     const auto size = reply.suspects().ByteSizeLong();
     to.permitted_bytes -= static_cast<double>(size);
     reply_bytes_ += size;
@@ -238,6 +237,15 @@
   if (now - to.last_loads >= loads_interval) add_loads(now, to, reply);
 }
 
+// The replies of a tick share one list.
+const wire::suspect_upstreams& load_summary::listed_suspects(time_point now) {
+  if (listed_at_ && now - *listed_at_ < list_lifetime && listed_.position() == position_)
+    return listed_;
+  listed_ = suspects(now);
+  listed_at_ = now;
+  return listed_;
+}
+
 // The sums of a large system do not fit one reply. Each reply continues after the last one.
 void load_summary::add_loads(time_point now, receiver_state& to, wire::news_reply& reply) {
   to.last_loads = now;
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -269,12 +269,14 @@
 // declaration that came into force may be gone when it is looked for.
 void flow_daemon::log_status(time_point now) {
   next_status_ = now + status_interval;
-  log_info("status")
-      .with("version", host_.router().routes().version())
+  auto line = log_info("status");
+  line.with("version", host_.router().routes().version())
       .with("in_force_ms", elapsed_ms(host_.in_force_since(), now))
       .with("update_age_ms", elapsed_ms(host_.last_update(), now))
       .with("upstreams", host_.router().upstreams().size())
       .with("open_flows", host_.router().flows().size());
+  if (settings_.has_load_reports())
+    line.with("shared_suspects", host_.router().selector().shared_suspects());
 }
 
 void flow_daemon::publish(time_point now) {
--- a/services/shared/notice_socket.h
+++ b/services/shared/notice_socket.h
@@ -74,7 +74,7 @@
 
 private:
   static constexpr std::size_t max_notice_bytes = 1'400; // of a load report
-  static constexpr std::size_t max_skipped = 64; // datagrams
+  static constexpr std::size_t max_skipped = 64;         // datagrams
 
   notice_socket() = default;
 
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -165,6 +165,24 @@
   BOOST_TEST(settings.value().founding_members().empty());
 }
 
+// Guards against load reports that nobody enabled, and against a host that has no address from
+// which to send them.
+BOOST_AUTO_TEST_CASE(load_reports_are_off_unless_enabled) {
+  const std::string entry = "name: entry-1\nzone_name: a\npacket_address: 127.0.0.1:7001\n"
+                            "ready_address: 127.0.0.1:7002\n"
+                            "control_hosts: [\"127.0.0.1:9001\"]\n";
+  const std::string notices = "notice_address: 127.0.0.1:7100\n";
+  BOOST_TEST(!load<flow_settings>(entry).value().has_load_reports());
+  BOOST_TEST(!load<flow_settings>(entry + "load_reports: off\n").value().has_load_reports());
+  BOOST_TEST(
+      load<flow_settings>(entry + notices + "load_reports: on\n").value().has_load_reports());
+  BOOST_TEST(!load<flow_settings>(entry + "load_reports: on\n").has_value());
+  BOOST_TEST(!load<flow_settings>(entry + "load_reports: yes\n").has_value());
+  BOOST_TEST(!load<control_settings>(valid_control).value().has_load_reports());
+  const auto enabled = std::string("load_reports: on\n") + valid_control;
+  BOOST_TEST(load<control_settings>(enabled).value().has_load_reports());
+}
+
 // Guards against a crash on, or the acceptance of, a document without settings.
 BOOST_AUTO_TEST_CASE(refuses_files_without_a_map) {
   BOOST_TEST(faults_of<entry_settings>("- 1\n- 2\n").front() ==
