--- a/include/zinniarelay/config/flow_settings.h
+++ b/include/zinniarelay/config/flow_settings.h
@@ -35,6 +35,8 @@
   bool has_adaptive_spillover() const { return has_adaptive_spillover_; }
   /// Waiting time that one flow to another zone is worth.
   milliseconds cross_zone_price() const { return cross_zone_price_; }
+  /// Whether this host exchanges load reports with the control hosts.
+  bool has_load_reports() const { return has_load_reports_; }
 
   friend bool operator==(const flow_settings&, const flow_settings&) = default;
 
@@ -53,6 +55,7 @@
   milliseconds stop_grace_{0};
   bool has_adaptive_spillover_ = false;
   milliseconds cross_zone_price_{0};
+  bool has_load_reports_ = false;
 };
 
 } // namespace zinnia
--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -14,6 +14,7 @@
 #include "zinniarelay/flow/declaration_contents.h"
 #include "zinniarelay/flow/declaration_history.h"
 #include "zinniarelay/flow/evacuated_zones.h"
+#include "zinniarelay/flow/load_summary.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
 #include "zinniarelay/replication/log_store.h"
@@ -42,6 +43,7 @@
   /// Set for a group that forms and repairs itself (docs/design.md R33).
   std::optional<group_settings> group;
   std::vector<std::string> zones; ///< names that operators may evacuate without an upstream in them
+  bool has_load_reports = false; ///< whether load reports of entry hosts are accepted
 };
 
 /// The control role: replicated log, applied state, replies to operators and entry hosts,
@@ -215,6 +217,12 @@
   };
   warmup_status warmup(time_point now) const;
 
+  /// Records a load report that an entry host sent from an address (docs/design/load-reports.md).
+  /// Ignored without has_load_reports.
+  void record_load(time_point now, const endpoint& from, const wire::flow_load& report);
+  const load_summary& loads() const { return loads_; }
+  /// Returns the upstreams that have become suspect since the last call.
+  std::vector<std::uint64_t> take_new_suspects() { return loads_.take_new_suspects(); }
   /// Returns a random number that distinguishes this process from an earlier one at the same
   /// address.
   std::uint64_t source() const { return source_; }
@@ -289,6 +297,11 @@
   void add_warmup_grants(time_point now, const wire::news_request& request, time_point received,
                          wire::news_reply& reply);
   bool has_new_grant(const wire::news_request& request) const;
+  /// Returns true when the entry host lacks a suspect upstream.
+  bool has_urgent_suspects(time_point now, const wire::news_request& request) const;
+  void add_load_metrics(time_point now, wire::metrics_reply& out) const;
+  /// Adds the suspect upstreams and the sums of the load reports.
+  void add_loads(time_point now, const wire::news_request& request, wire::news_reply& reply);
   bool has_quorum(time_point now) const;
   /// Whether this host serves its restored view until its first contact with a quorum.
   bool serves_restored_view(time_point now) const;
@@ -324,6 +337,7 @@
   time_point started_;
   upstream_directory upstreams_;
   start_notices notices_;
+  load_summary loads_;
   compact_replies compact_replies_;
   declaration_contents declaration_contents_;
   struct {
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flow.pb.h"
 #include "zinniarelay/core/random.h"
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/evacuated_zones.h"
@@ -11,6 +12,7 @@
 #include "zinniarelay/flow/zone_delays.h"
 #include "zinniarelay/flow/zone_health.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -71,8 +73,6 @@
   warmup_tokens& tokens() { return tokens_; }
   const warmup_tokens& tokens() const { return tokens_; }
 
-  /// Replaces the sums of load by zone that a control host has sent.
-  void set_zone_loads(time_point now, std::vector<wire::zone_load> loads);
   /// Moves the shares of spillover by the latest sums, at most every 500 ms.
   void update_spillover(time_point now, const view& known);
   const spillover_policy& spillover() const { return spillover_; }
@@ -85,8 +85,10 @@
   /// Records that a caller has an answer of an upstream, this long after the opening packet.
   void record_answer(time_point now, const upstream_directory::entry& upstream,
                      microseconds answered_after);
-  /// Records that a caller repeated an opening packet that an upstream did not answer.
-  void record_timeout(time_point now, const upstream_directory& upstreams, std::uint64_t upstream);
+  /// Records that a caller repeated an opening packet that an upstream did not answer; `forwarded`
+  /// is when the upstream was sent that packet.
+  void record_timeout(time_point now, const upstream_directory& upstreams, std::uint64_t upstream,
+                      time_point forwarded);
   /// Records contact with the zone of an upstream if its report arrived now.
   void record_report(time_point now, const upstream_directory& upstreams, std::uint64_t upstream);
   /// Records when an upstream of the zone last sent a report.
@@ -101,16 +103,46 @@
   void index_services(const upstream_directory& upstreams, const evacuated_zones& evacuations);
   /// Returns the number of selections for which upstreams of evacuated zones were left out.
   std::uint64_t kept_away() const { return kept_away_; }
-  /// Removes the observations of upstreams that the directory no longer contains.
-  void remove_expired(const upstream_directory& upstreams);
+  /// Uses the suspects in the combined view of all entry hosts; they replace the earlier ones.
+  void set_suspects(time_point now, const upstream_directory& upstreams,
+                    const wire::suspect_upstreams& suspects);
+  /// Stores the sums of a reply. Those of earlier replies stay until they are 3 s old.
+  void set_zone_loads(time_point now, std::vector<wire::zone_load> loads);
+  /// Returns the sums that are not older than 3 s, with their present ages.
+  std::vector<wire::zone_load> zone_loads(time_point now) const;
 
-private:
   /// Health of one upstream, as observed from the packets of callers.
   struct health_observation {
     time_point last_answer;     ///< when a caller last showed that it had an answer
     time_point last_timeout;    ///< when a caller last repeated an unanswered opening packet
+    time_point last_forwarded;  ///< when the upstream was sent that packet
     std::uint32_t timeouts = 0; ///< unanswered opening packets since the last answer
   };
+  const std::unordered_map<std::uint64_t, health_observation>& health_observations() const {
+    return health_observations_;
+  }
+  /// Returns when an event last occurred that other hosts should learn of at once: an opening
+  /// packet stayed unanswered, or a suspect of the others answered.
+  time_point last_notable_event() const { return last_notable_event_; }
+  /// Returns the number of upstreams that count as suspect because of other hosts, including those
+  /// that return gradually.
+  std::size_t shared_suspects() const { return shared_suspects_.size(); }
+
+  /// Removes the observations of upstreams that the directory no longer contains.
+  void remove_expired(const upstream_directory& upstreams);
+
+private:
+  /// An upstream that other hosts found to be unresponsive.
+  struct shared_suspect {
+    time_point observed;      ///< last observation
+    time_point avoided_until; ///< no opening packet is sent to it before
+    time_point probed_until;  ///< an opening packet may still be answered until then
+  };
+  /// A sum of the load reports of all entry hosts.
+  struct stored_zone_load {
+    wire::zone_load load;
+    time_point measured; ///< when the oldest report of the sum was received
+  };
   /// The ready upstreams of a service, by incarnation.
   struct ready_upstreams {
     std::vector<std::uint64_t> local; ///< in the zone of this host
@@ -139,6 +171,11 @@
                                                    const ready_upstreams& listed);
   spillover_policy::zone_capacities capacities_of(time_point now, const view& known,
                                                   const ready_upstreams& listed) const;
+  bool is_shared_suspect(time_point now, std::uint64_t upstream) const;
+  /// Records the selection of an upstream that returns gradually.
+  void record_probe(time_point now, std::uint64_t upstream);
+  /// Keeps the latest suspects of each service and zone, at most half of its upstreams.
+  void limit_shared_suspects(const upstream_directory& upstreams);
 
   upstream_selector_settings settings_;
   random_engine engine_;
@@ -153,10 +190,12 @@
   std::optional<time_point> last_demand_;
   spillover_policy spillover_;
   zone_delays zone_delays_;
-  std::vector<wire::zone_load> zone_loads_;
-  time_point zone_loads_arrival_;
   time_point next_spillover_update_;
   std::vector<spillover_policy::change> spillover_changes_;
+  std::unordered_map<std::uint64_t, shared_suspect> shared_suspects_; ///< by incarnation
+  /// By service, zone of the callers and zone of the upstreams.
+  std::map<std::array<std::string, 3>, stored_zone_load> zone_loads_;
+  time_point last_notable_event_;
 };
 
 } // namespace zinnia
--- a/libraries/config/flow_settings.cpp
+++ b/libraries/config/flow_settings.cpp
@@ -44,6 +44,10 @@
   out.has_adaptive_spillover_ = read_spillover(map, sink);
   out.cross_zone_price_ =
       map.duration("cross_zone_price", presence::optional, price_range).value_or(milliseconds(0));
+  out.has_load_reports_ = read_switch(map, "load_reports", sink);
+  if (out.has_load_reports_ && !out.notice_address_)
+    sink.report(map.place("load_reports"), "load_reports is on without notice_address",
+                "notice_address, from which the reports are sent");
   map.report_unknown_keys();
 
   address_registry addresses(sink);
--- a/libraries/control/control_host.cpp
+++ b/libraries/control/control_host.cpp
@@ -102,6 +102,7 @@
   opened.zone_changes_ = std::move(zone_changes_);
   opened.upstreams_ = std::move(upstreams_);
   opened.notices_ = std::move(notices_);
+  opened.loads_ = std::move(loads_);
   opened.last_tick_ = last_tick_;
   opened.resumed_ = resumed_;
   // Entry hosts still hold the leases that this process granted.
@@ -127,6 +128,7 @@
     next_expiry_ = now + expiry_interval;
     upstreams_.remove_expired(now);
   }
+  loads_.tick(now);
   maintain_group(now);
   maintain_warmup(now);
 }
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -211,9 +211,8 @@
 
 // Upstreams.
 
-upstream_directory::merge_result control_host::merge_report(time_point now,
-                                                            const upstream_report& value,
-                                                            std::uint64_t wall_ms) {
+upstream_directory::merge_result
+control_host::merge_report(time_point now, const upstream_report& value, std::uint64_t wall_ms) {
   follow_limits();
   std::optional<milliseconds> age;
   if (wall_ms != 0)
@@ -253,6 +252,7 @@
   add_declaration(now, request, out);
   out.set_quorum_age_ms(milliseconds_field(node_.quorum_age(now)));
   out.set_recalled(serves_restored_view(now));
+  add_loads(now, request, out);
   for (auto& it : member_addresses(request.zone()))
     out.add_control_hosts(std::move(it));
   return out;
@@ -323,7 +323,8 @@
   if (request.quorum_required() && !can_serve) return false;
   return request.source() != source_ || lacks_evacuations(request) ||
          committed_declaration().version() > request.version() ||
-         upstreams_.content_position() > request.position() || has_new_grant(request);
+         upstreams_.content_position() > request.position() || has_new_grant(request) ||
+         has_urgent_suspects(now, request);
 }
 
 } // namespace zinnia
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -14,6 +14,8 @@
 // which a packet is held, or this many without a lease.
 constexpr double max_token_wait_s = 0.8;
 constexpr std::size_t max_waiting_without_lease = 32;
+// The ages in a reply count from when it was sent, which may be as early as its request.
+constexpr milliseconds max_load_age{3'000};
 
 } // namespace
 
@@ -67,12 +69,11 @@
                        reply.has_more_upstreams() ? flow_router::update_extent::partial
                                                   : flow_router::update_extent::complete);
   if (reply.has_liveness()) router_.record_liveness(now, reply.source(), reply.liveness());
-  if (reply.loads_size() > 0)
-    router_.selector().set_zone_loads(now, {reply.loads().begin(), reply.loads().end()});
   apply_declaration(now, reply, out);
   router_.record_origin(now, reply);
   router_.record_grants(requested, reply);
   if (trust_of(reply) == declaration_trust::confirmed) router_.confirm(reply.declaration_version());
+  if (now - requested <= max_load_age) router_.apply_loads(now, reply);
   router_.record_update_request(requested);
   last_update_ = now;
   readiness_.set_serving(router_.routes().version() > 0, router_.has_upstreams());
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -30,8 +30,8 @@
 
 const char* name_of(flow_decision::reason_type reason) {
   constexpr std::array<const char*, flow_decision::reason_count> names{
-      "opened",      "reopened",    "moved",        "routed",    "no_route",
-      "no_upstream", "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
+      "opened",      "reopened",     "moved",     "routed",   "no_route", "no_upstream",
+      "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -97,7 +97,7 @@
     // The caller sent another copy because it got no answer: the upstream is full,
     // unreachable or has crashed.
     if (head.acknowledged > existing->opening_copies)
-      selector_.record_timeout(now, upstreams_, existing->upstream);
+      selector_.record_timeout(now, upstreams_, existing->upstream, existing->opened);
     excluded = existing->upstream;
     why = reason::moved;
   }
@@ -108,6 +108,9 @@
   if (chosen == nullptr) return decision_of(action::reset, reason::no_upstream);
   auto& flow = flows_.open(now, key, chosen->incarnation);
   flow.opening_copies = head.acknowledged;
+  // Later copies of the packet reach other hosts too, where the flow would count again.
+  if (load_reporter_ && why == reason::opened && head.acknowledged == 0)
+    load_reporter_->record_opening(*chosen);
   return forward(*chosen, why);
 }
 
@@ -221,6 +224,17 @@
     selector_.record_zone_contact(it.zone(), now - milliseconds(it.age_ms()));
 }
 
+void flow_router::apply_loads(time_point now, const wire::news_reply& reply) {
+  if (load_reporter_ && reply.has_suspects())
+    selector_.set_suspects(now, upstreams_, reply.suspects());
+  selector_.set_zone_loads(now, {reply.loads().begin(), reply.loads().end()});
+}
+
+std::optional<wire::flow_load> flow_router::take_due_load(time_point now) {
+  if (!load_reporter_) return std::nullopt;
+  return load_reporter_->take_due(now, upstreams_, flows_, selector_);
+}
+
 void flow_router::tick(time_point now) {
   selector_.tokens().advance(now);
   if (now < next_expiry_) return;
