control: a refused order names its direction, and an undecodable reply is no answer

The audit record of an order for an unknown zone did not say whether the zone was to be evacuated or restored. gRPC reports success for a reply that it could not decode, which now counts as none from the leader. A test of the restored view crashed with its mechanism removed and hid later ones.

--- a/libraries/control/control_host_zones.cpp
+++ b/libraries/control/control_host_zones.cpp
@@ -45,7 +45,8 @@
   if (is_known_zone(request.order().zone()))
     *command.mutable_evacuation() = request.order();
   else
-    command.set_refused("zone " + request.order().zone().substr(0, max_zone_bytes) +
+    command.set_refused(std::string(request.order().active() ? "evacuate" : "restore") + ": zone " +
+                        request.order().zone().substr(0, max_zone_bytes) +
                         " is not known: it is not in the setting zones and has no upstream");
   return propose(now, wall_ms, std::move(command));
 }
--- a/services/controld/flow_control_zones.cpp
+++ b/services/controld/flow_control_zones.cpp
@@ -94,7 +94,10 @@
                                                  until - steady_clock::now()));
   wire::apply_reply reply;
   if (!operations->Evacuate(&context, request, &reply).ok()) return std::nullopt;
-  if (reply.result() == wire::apply_reply::not_leader) return std::nullopt;
+  // gRPC reports success for a reply that cannot be decoded.
+  if (reply.result() == wire::apply_reply::not_leader ||
+      reply.result() == wire::apply_reply::unanswered)
+    return std::nullopt;
   return reply;
 }
 
--- a/tests/libraries/control/zone_evacuations_test.cpp
+++ b/tests/libraries/control/zone_evacuations_test.cpp
@@ -154,6 +154,7 @@
   const auto reply = host.updates(restarted.now, request);
   BOOST_TEST(reply.recalled());
   BOOST_TEST(reply.evacuations().version() == 1U);
+  BOOST_REQUIRE(reply.evacuations().zones_size() == 1);
   BOOST_TEST(reply.evacuations().zones(0).active());
 }
 
