soak: zones are evacuated beside faults and kills of control hosts

Each round evacuates a zone while the storm goes on, restores it in the calm beside the kill of a random control host, and evacuates and restores the other zone beside further kills. Upstreams write a line for each new flow; one in an evacuated zone later than 5 s after the acknowledgement is a finding, in calms only: in storms entry hosts may have no control host.

--- a/utilities/flowpeer/flow_upstream.cpp
+++ b/utilities/flowpeer/flow_upstream.cpp
@@ -90,7 +90,7 @@
     packet.remove_prefix(platform::prefix_size);
     const auto head = platform::decode_head(std::as_bytes(std::span(packet)));
     if (!head) continue;
-    report_violations(received->sender, *head);
+    report_events(received->sender, *head);
     serve(*head, packet.substr(platform::head_size));
   }
 }
@@ -104,18 +104,20 @@
   return std::equal(expected.begin(), expected.end(), prefix.begin());
 }
 
-// Writes one line for each violation. The checks of a run read these lines. Violations are a packet
-// to an address of another service, and a packet that opens a flow after the confirmed leave has
-// reached all hosts.
-void flow_upstream::report_violations(const endpoint& sender, const packet_head& head) {
+// Writes one line for each new flow and for each violation. The checks of a run read these lines.
+// Violations are a packet to an address of another service, and a packet that opens a flow after
+// the confirmed leave has reached all hosts.
+void flow_upstream::report_events(const endpoint& sender, const packet_head& head) {
   const auto now = unix_ms();
+  const bool is_new = head.is_open && flows_.count(head.key()) == 0;
+  if (is_new && options_.reports_opens)
+    write_line("open at_ms=" + std::to_string(now) + " sender=" + sender.to_string());
   if (!options_.service_addresses.empty() &&
       std::find(options_.service_addresses.begin(), options_.service_addresses.end(),
                 head.destination.address) == options_.service_addresses.end())
     write_line("foreign at_ms=" + std::to_string(now) + " sender=" + sender.to_string() +
                " to=" + head.destination.to_string());
-  if (head.is_open && leave_confirmed_ms_ > 0 &&
-      now > leave_confirmed_ms_ + max_leave_propagation_ms && flows_.count(head.key()) == 0)
+  if (is_new && leave_confirmed_ms_ > 0 && now > leave_confirmed_ms_ + max_leave_propagation_ms)
     write_line("late_open at_ms=" + std::to_string(now) + " sender=" + sender.to_string());
 }
 
--- a/utilities/flowpeer/flow_upstream.h
+++ b/utilities/flowpeer/flow_upstream.h
@@ -28,6 +28,7 @@
   milliseconds drain_time{3'000}; ///< from the stop request to the end of the process
   std::uint16_t caller_port = 0;  ///< port at which callers receive packets
   std::size_t answer_bytes = 600; ///< size of each answer
+  bool reports_opens = false;     ///< writes a line for each new flow
 };
 
 /// Simulates an upstream of packet flows. Reports to a control host, sends answers directly to
@@ -52,7 +53,7 @@
   void run_reports(const std::stop_token& stop);
   void serve_packets();
   bool is_addressed(std::string_view packet) const;
-  void report_violations(const endpoint& sender, const packet_head& head);
+  void report_events(const endpoint& sender, const packet_head& head);
   void serve(const packet_head& head, std::string_view data);
   void send(const packet_head& received, packet_head head, std::string_view data);
   void send_answer(const packet_head& head, const std::string& request);
--- a/utilities/flowpeer/main.cpp
+++ b/utilities/flowpeer/main.cpp
@@ -101,6 +101,8 @@
                        "ip:port of a route of the service; others are reported as foreign");
   upstream->add_option("--caller-port", upstream_opts.caller_port, "port of callers")->required();
   std::uint32_t drain_ms = 3'000;
+  upstream->add_flag("--report-opens", upstream_opts.reports_opens,
+                     "write a line for each new flow");
   upstream->add_option("--drain", drain_ms, "time from SIGTERM to the end of the process, ms");
   upstream->add_option("--answer-bytes", upstream_opts.answer_bytes, "size of an answer, bytes");
 
--- a/utilities/soak/faults.h
+++ b/utilities/soak/faults.h
@@ -22,6 +22,9 @@
   /// Replaces one upstream of each service, as a planned release does.
   void replace_one_per_service(time_point now);
 
+  /// Kills one control host, which may be the leader.
+  void kill_one_control(time_point now) { kill_one(role::control, now); }
+
   /// Returns one line for each fault, with its time.
   const std::vector<std::string>& journal() const { return journal_; }
 
--- a/utilities/soak/installation.cpp
+++ b/utilities/soak/installation.cpp
@@ -51,10 +51,6 @@
   return "process";
 }
 
-std::string zone_of(std::uint32_t number) {
-  return number % 2 == 1 ? "zone-1" : "zone-2";
-}
-
 // Two upstreams of each service keep their service: one serves while the other is replaced.
 std::optional<std::string> service_of(std::uint32_t upstream) {
   if (upstream <= 2) return "registry";
@@ -64,6 +60,10 @@
 
 } // namespace
 
+std::string installation::zone_of(std::uint32_t number) {
+  return number % 2 == 1 ? "zone-1" : "zone-2";
+}
+
 std::string member::name() const {
   return role_name(kind) + std::to_string(number);
 }
@@ -144,7 +144,7 @@
   for (std::uint32_t n = 1; n <= founders; ++n)
     out << (n > 1 ? ", " : "") << '"' << address(control_proxy_base + n, group_port).to_string()
         << '"';
-  out << "]\n";
+  out << "]\nzones: [\"zone-1\", \"zone-2\"]\n";
 }
 
 void installation::write_entry_settings(std::uint32_t number, std::uint32_t rotation) const {
@@ -261,7 +261,8 @@
                         "--answer-bytes",
                         answer_bytes,
                         "--drain",
-                        drain_ms};
+                        drain_ms,
+                        "--report-opens"};
   for (const auto& control : operator_addresses()) {
     upstream.arguments.emplace_back("--control");
     upstream.arguments.push_back(control.to_string());
--- a/utilities/soak/installation.h
+++ b/utilities/soak/installation.h
@@ -46,6 +46,9 @@
   static constexpr std::uint32_t upstreams = 6;
   static constexpr std::uint16_t service_port = 443;
 
+  /// Returns the zone of the host or upstream with this number.
+  static std::string zone_of(std::uint32_t number);
+
   static result<std::unique_ptr<installation>> create(const installation_options& options);
 
   /// Starts the processes whose restart is due and checks which processes have ended. Records an
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -2,10 +2,12 @@
 #include "faults.h"
 #include "operators.h"
 #include "run_report.h"
+#include "zone_orders.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <csignal>
+#include <future>
 #include <iostream>
 #include <thread>
 #include <unistd.h>
@@ -23,6 +25,8 @@
 constexpr milliseconds recovery_timeout{12'000};
 constexpr milliseconds in_force_limit{3'000}; // P8
 constexpr milliseconds operator_timeout{5'000};
+// Flows that open later than 5 s after the acknowledgement of an order are a violation.
+constexpr milliseconds order_in_force_time{7'000};
 // The time for the drain, the leave and the start of the successor of an upstream.
 constexpr milliseconds replacement_time{6'500};
 constexpr std::uint32_t probe_flows = 40;
@@ -46,7 +50,8 @@
 public:
   soak_run(const soak_options& options, installation& target)
       : options_(options), target_(target), faults_(target, options.seed, monotonic_now()),
-        operators_(target.operator_addresses(), options.seed) {}
+        operators_(target.operator_addresses(), options.seed),
+        zone_orders_(target.operator_addresses(), options.seed) {}
 
   void run() {
     if (!start()) return;
@@ -61,6 +66,8 @@
       add_finding("the declaration cannot be read at the end");
     for (const auto& it : operators_.findings())
       add_finding(it);
+    for (const auto& it : zone_orders_.findings())
+      add_finding(it);
     for (const auto& it : target_.unexpected_exits())
       add_finding(it);
   }
@@ -73,6 +80,7 @@
   const std::vector<std::string>& findings() const { return findings_; }
   const soak::faults& faults() const { return faults_; }
   std::uint64_t acknowledged() const { return operators_.acknowledged(); }
+  const soak::zone_orders& orders() const { return zone_orders_; }
 
 private:
   void add_finding(const std::string& what) { findings_.push_back(what); }
@@ -104,8 +112,11 @@
     return is_started;
   }
 
+  // Each round evacuates another zone, and the storm goes on beside the order.
   void storm() {
     operators_.set_changing(true);
+    evacuated_ = installation::zone_of(++rounds_);
+    auto order = std::async(std::launch::async, [&] { return zone_orders_.evacuate(evacuated_); });
     const auto until = monotonic_now() + std::chrono::seconds(options_.storm_s);
     while (monotonic_now() < until && !utilities::is_stop_requested()) {
       faults_.step(monotonic_now());
@@ -113,6 +124,14 @@
       std::this_thread::sleep_for(poll_interval);
     }
     faults_.heal(monotonic_now());
+    wait_for(order);
+  }
+
+  // The processes are supervised while the order is sent.
+  bool wait_for(std::future<bool>& order) {
+    while (order.wait_for(poll_interval) != std::future_status::ready)
+      target_.supervise(monotonic_now());
+    return order.get();
   }
 
   void calm() {
@@ -127,7 +146,11 @@
     const auto rest = contact_time - (monotonic_now() - healed);
     pause(std::chrono::duration_cast<milliseconds>(rest) + in_force_limit);
     calms_.emplace_back(unix_ms(), 0);
-    check_service("after a storm");
+    // In the storm the order may not have been acknowledged.
+    if (!zone_orders_.evacuate(evacuated_)) add_finding("no evacuation is acknowledged in a calm");
+    check_service("after a storm, with " + evacuated_ + " evacuated");
+    check_order_beside_kill();
+    check_service("after " + evacuated_ + " was restored");
     check_declaration_change();
     faults_.replace_one_per_service(monotonic_now());
     pause(replacement_time);
@@ -135,6 +158,23 @@
     calms_.back().second = unix_ms();
   }
 
+  // The other zone is evacuated too and restored after it: a copy of an earlier order must not come
+  // into force later.
+  void check_order_beside_kill() {
+    const auto other = installation::zone_of(rounds_ + 1);
+    const auto order_beside_kill = [this](auto send) {
+      auto order = std::async(std::launch::async, send);
+      faults_.kill_one_control(monotonic_now());
+      if (!wait_for(order)) add_finding("no order is acknowledged beside the loss of a host");
+    };
+    order_beside_kill([this] { return zone_orders_.restore(evacuated_); });
+    order_beside_kill([&] { return zone_orders_.evacuate(other); });
+    pause(order_in_force_time);
+    check_service("with " + other + " evacuated");
+    order_beside_kill([&] { return zone_orders_.restore(other); });
+    pause(in_force_limit);
+  }
+
   void check_service(const std::string& when) {
     check_answers("registry", installation::service_port, probe_flows, "registry " + when);
     check_answers("catalogue", installation::service_port, probe_flows, "catalogue " + when);
@@ -164,6 +204,9 @@
   installation& target_;
   soak::faults faults_;
   soak::operators operators_;
+  soak::zone_orders zone_orders_;
+  std::uint32_t rounds_ = 0;
+  std::string evacuated_;                                      ///< zone
   std::vector<std::pair<std::uint64_t, std::uint64_t>> calms_; ///< Unix times in ms
   std::vector<std::string> findings_;
 };
@@ -183,10 +226,14 @@
   soak_run current_run(options, *target.value());
   current_run.run();
   target.value().reset();
-  const soak::run_report report(std::filesystem::path(options.work) / "logs",
-                                [&](const std::string& /*sender*/, std::uint64_t at_ms) {
-                                  return !current_run.is_calm(at_ms);
-                                });
+  const soak::run_report report(
+      std::filesystem::path(options.work) / "logs",
+      [&](const std::string& /*sender*/, std::uint64_t at_ms) {
+        return !current_run.is_calm(at_ms);
+      },
+      [&](std::uint32_t upstream, std::uint64_t at_ms) {
+        return current_run.orders().is_evacuated(installation::zone_of(upstream), at_ms);
+      });
   if (utilities::is_stop_requested()) {
     std::cerr << "zinnia-soak: stopped before the end of the run" << std::endl;
     return 2;
@@ -198,9 +245,11 @@
   for (const auto& it : findings)
     std::cout << "finding: " << it << '\n';
   std::cout << "seed=" << options.seed << " faults=" << current_run.faults().journal().size()
-            << " changes=" << current_run.acknowledged() << " runs=" << report.runs()
-            << " answered=" << report.answered() << " not_answered=" << report.unanswered()
-            << " findings=" << findings.size() << std::endl;
+            << " changes=" << current_run.acknowledged()
+            << " orders=" << current_run.orders().acknowledged() << " opens=" << report.opens()
+            << " runs=" << report.runs() << " answered=" << report.answered()
+            << " not_answered=" << report.unanswered() << " findings=" << findings.size()
+            << std::endl;
   return findings.empty() ? 0 : 1;
 }
 
--- a/utilities/soak/run_report.cpp
+++ b/utilities/soak/run_report.cpp
@@ -27,8 +27,9 @@
   return out;
 }
 
-run_report::run_report(const std::filesystem::path& logs, exemption is_exempt)
-    : is_exempt_(std::move(is_exempt)) {
+run_report::run_report(const std::filesystem::path& logs, exemption is_exempt,
+                       evacuation is_evacuated)
+    : is_exempt_(std::move(is_exempt)), is_evacuated_(std::move(is_evacuated)) {
   std::vector<std::filesystem::path> upstreams;
   for (const auto& it : std::filesystem::directory_iterator(logs)) {
     const auto name = it.path().filename().string();
@@ -53,6 +54,8 @@
         if (!runs.insert(line).second) add_finding("ran twice", place, line);
       } else if (line.starts_with("foreign ")) {
         add_finding("packet of another service", place, line);
+      } else if (line.starts_with("open ")) {
+        check_open(place, line);
       } else if (line.starts_with("late_open ")) {
         check_late_open(place, line);
       }
@@ -65,6 +68,17 @@
   findings_.push_back(what + " at " + place + ": " + line);
 }
 
+void run_report::check_open(const std::string& place, const std::string& line) {
+  ++opens_;
+  std::uint32_t upstream = 0;
+  const auto number = std::string_view(place).substr(std::string_view("upstream").size());
+  std::from_chars(number.data(), number.data() + number.size(), upstream);
+  const auto sender = word_in(line, "sender").value_or("");
+  const auto at_ms = number_in(line, "at_ms");
+  if (is_evacuated_(upstream, at_ms) && !is_exempt_(sender.substr(0, sender.find(':')), at_ms))
+    add_finding("new flow in an evacuated zone", place, line);
+}
+
 void run_report::check_late_open(const std::string& place, const std::string& line) {
   const auto sender = word_in(line, "sender").value_or("");
   if (!is_exempt_(sender.substr(0, sender.find(':')), number_in(line, "at_ms")))
