--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -134,7 +134,6 @@
   const evacuated_zones& evacuations() const { return evacuations_; }
   /// Returns the number of openings for which upstreams of evacuated zones were left out.
   std::uint64_t openings_kept_away() const { return selector_.kept_away(); }
-  const upstream_selector& selector() const { return selector_; }
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
   /// Uses the suspects and the sums of a reply of a control host (docs/design/load-reports.md).
