--- a/include/zinniarelay/control/group_policy.h
+++ b/include/zinniarelay/control/group_policy.h
@@ -20,6 +20,8 @@
   milliseconds learner_timeout{30'000};
   /// A join request expires after this time.
   milliseconds join_request_lifetime{3'000};
+  /// A leader of a group with fewer voters acknowledges nothing for this time.
+  milliseconds full_size_wait{10'000};
 };
 
 /// Decides how a control group forms and repairs itself without an operator. Hosts that
--- a/tests/libraries/replication/log_store_test.cpp
+++ b/tests/libraries/replication/log_store_test.cpp
@@ -128,6 +128,23 @@
   BOOST_TEST((other.load().error().kind == error_kind::corrupted));
 }
 
+// Guards against taking the state of a lost identity for an interrupted first start, whose
+// snapshot covers no entry.
+BOOST_AUTO_TEST_CASE(only_an_initial_snapshot_may_lack_an_identity) {
+  for (const std::uint64_t last_index : {0U, 1U}) {
+    memory_storage files_without_identity;
+    log_store other(files_without_identity);
+    wire::stored_snapshot snapshot;
+    snapshot.set_last_index(last_index);
+    BOOST_TEST(other.write_snapshot(snapshot, {}).has_value());
+    const auto loaded = other.load();
+    BOOST_TEST(loaded.has_value() == (last_index == 0));
+    if (loaded.has_value()) BOOST_TEST(loaded.value().snapshot != nullptr);
+    BOOST_TEST(other.append({entry_of(last_index + 1, 1)}).has_value());
+    BOOST_TEST((other.load().error().kind == error_kind::corrupted));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
