soak: kills and lost disks during the first start

Change: for the first 3 s after the start of all processes, control and other hosts are killed and a control host loses its disk, at intervals of 20 to 900 ms; then a change must be acknowledged.

--- a/utilities/soak/faults.cpp
+++ b/utilities/soak/faults.cpp
@@ -33,6 +33,31 @@
   return out;
 }
 
+// Kills and lost disks only: an installation that forms has no connections yet to disturb.
+const std::vector<faults::weighted_fault>& faults::first_start_table() {
+  static const std::vector<weighted_fault> out{
+      {&faults::kill_control, 4},   {&faults::kill_all_controls, 2}, {&faults::wipe_control, 3},
+      {&faults::kill_all_hosts, 1}, {&faults::kill_entry, 1},        {&faults::kill_upstream, 1},
+  };
+  return out;
+}
+
+void faults::apply_random(const std::vector<weighted_fault>& table, time_point now) {
+  std::vector<int> weights;
+  for (const auto& it : table)
+    weights.push_back(it.weight);
+  std::discrete_distribution<std::size_t> choice(weights.begin(), weights.end());
+  (this->*table[choice(engine_)].apply)(now);
+}
+
+// The bootstrap takes some milliseconds, and the group grows for about a second.
+void faults::step_first_start(time_point now) {
+  if (next_fault_ == time_point{}) next_fault_ = now + random_duration(20, 600);
+  if (now < next_fault_) return;
+  next_fault_ = now + random_duration(20, 900);
+  apply_random(first_start_table(), now);
+}
+
 void faults::step(time_point now) {
   for (auto it = paused_.begin(); it != paused_.end();) {
     if (now < it->first) {
@@ -46,11 +71,7 @@
   }
   if (now < next_fault_) return;
   next_fault_ = now + random_duration(100, 1'200);
-  std::vector<int> weights;
-  for (const auto& it : fault_table())
-    weights.push_back(it.weight);
-  std::discrete_distribution<std::size_t> choice(weights.begin(), weights.end());
-  (this->*fault_table()[choice(engine_)].apply)(now);
+  apply_random(fault_table(), now);
 }
 
 void faults::heal(time_point now) {
--- a/utilities/soak/faults.h
+++ b/utilities/soak/faults.h
@@ -17,6 +17,9 @@
   /// Applies the next fault if it is due and resumes paused processes. Called every 10 ms of a
   /// storm.
   void step(time_point now);
+  /// As step(), with the faults that meet an installation during its first start, in quick
+  /// succession.
+  void step_first_start(time_point now);
   /// Ends all faults and restarts all processes that are down.
   void heal(time_point now);
   /// Replaces one upstream of each service, as a planned release does.
@@ -32,6 +35,8 @@
     int weight;
   };
   static const std::vector<weighted_fault>& fault_table();
+  static const std::vector<weighted_fault>& first_start_table();
+  void apply_random(const std::vector<weighted_fault>& table, time_point now);
 
   void kill_control(time_point now) { kill_one(role::control, now); }
   void kill_entry(time_point now) { kill_one(role::entry, now); }
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -17,6 +17,9 @@
 
 constexpr milliseconds poll_interval{10};
 constexpr milliseconds start_timeout{30'000};
+// From the start of the processes on: the group forms and grows to its full size.
+constexpr milliseconds first_faults_time{3'000};
+constexpr milliseconds first_poll_interval{1}; // a bootstrap takes some milliseconds
 // After this time without faults, all hosts have contact with each other, and promises
 // with a time limit apply.
 constexpr milliseconds contact_time{4'000};
@@ -99,8 +102,17 @@
 
   bool start() {
     operators_.set_changing(true);
+    const auto until = monotonic_now() + first_faults_time;
+    while (monotonic_now() < until && !utilities::is_stop_requested()) {
+      target_.supervise(monotonic_now());
+      faults_.step_first_start(monotonic_now());
+      std::this_thread::sleep_for(first_poll_interval);
+    }
+    faults_.heal(monotonic_now());
     const bool is_started = wait(start_timeout, [this] { return are_hosts_ready(); });
     if (!is_started) add_finding("hosts are not ready after the first start");
+    if (is_started && operators_.change(start_timeout) == 0)
+      add_finding("no change is acknowledged after the first start");
     return is_started;
   }
 
