--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -3,6 +3,7 @@
 #include "flow.pb.h"
 #include "operator.pb.h"
 #include "zinniarelay/control/group_policy.h"
+#include "zinniarelay/control/group_size_policy.h"
 #include "zinniarelay/control/start_notices.h"
 #include "zinniarelay/control/warmup_leases.h"
 #include "zinniarelay/core/encoded_contents.h"
@@ -43,7 +44,7 @@
   /// Set for a group that forms and repairs itself (docs/design.md R33).
   std::optional<group_settings> group;
   std::vector<std::string> zones; ///< names that operators may evacuate without an upstream in them
-  bool has_load_reports = false; ///< whether load reports of entry hosts are accepted
+  bool has_load_reports = false;  ///< whether load reports of entry hosts are accepted
 };
 
 /// The control role: replicated log, applied state, replies to operators and entry hosts,
@@ -93,6 +94,11 @@
   /// the folder no longer belongs to this host.
   result<void> reopen(time_point now);
 
+  /// Returns true when an operator's change that this host has applied may be acknowledged: it
+  /// then survives as many losses as the group is configured to tolerate (docs/design.md R48).
+  /// Every reply that acknowledges a change waits for this, also one to a repeated request.
+  bool may_acknowledge() const;
+
   submission<wire::apply_reply> apply(time_point now, std::uint64_t wall_ms,
                                       const wire::apply_request& request);
   submission<wire::apply_reply> drain(time_point now, std::uint64_t wall_ms,
@@ -109,8 +115,8 @@
   wire::apply_reply unconfirmed_apply() const;
   wire::members_reply unconfirmed_members() const;
 
-  /// Proposes a declaration of packet flows. Accepts immediately when a version at least as
-  /// high is in force. The calling code has validated the declaration.
+  /// Proposes a declaration of packet flows. Accepts without a proposal when a version at least
+  /// as high is in force. The calling code has validated the declaration.
   submission<wire::version_reply> apply_version(time_point now, std::uint64_t wall_ms,
                                                 const wire::version_request& request);
   std::optional<wire::version_reply> version_reply_for(const ticket& pending) const;
@@ -266,6 +272,7 @@
                                         wire::control_command command);
   /// Returns why a command must not be proposed, or an empty string.
   std::string check(const wire::control_command& command) const;
+  std::string unconfirmed_cause() const;
   wire::apply_reply build_apply_reply(const wire::operation_result& result) const;
   wire::members_reply build_members_reply(bool is_accepted, const std::string& cause) const;
   void add_changes(time_point now, const wire::sync_request& request, wire::sync_reply& reply);
@@ -327,6 +334,7 @@
   encoded_contents configuration_contents_;
   std::uint64_t source_ = 0;
   std::optional<group_policy> group_;
+  std::optional<group_size_policy> group_size_;
   std::uint64_t group_changes_ = 0;
   wire::versioned_declaration flows_;
   declaration_history history_;
@@ -346,16 +354,16 @@
     std::optional<wire::upstream_liveness> content;
   } liveness_; ///< in the last replies
   std::optional<time_point> last_tick_;
-  time_point next_expiry_; ///< when the upstreams without reports are removed next
+  time_point next_expiry_;            ///< when the upstreams without reports are removed next
   std::optional<time_point> resumed_; ///< end of the last suspension
   struct own_lease {
     double rate = 0;
     time_point expires;
   };
-  std::uint64_t limits_version_ = 0;   ///< of the declaration whose warm-up limits are in force
-  std::uint64_t granting_term_ = 0;    ///< the last term in which this host was the leader
-  time_point granting_from_;           ///< when its first grant in this term is permitted
-  warmup_leases control_leases_;       ///< granted to control hosts, as the leader
+  std::uint64_t limits_version_ = 0; ///< of the declaration whose warm-up limits are in force
+  std::uint64_t granting_term_ = 0;  ///< the last term in which this host was the leader
+  time_point granting_from_;         ///< when its first grant in this term is permitted
+  warmup_leases control_leases_;     ///< granted to control hosts, as the leader
   std::map<std::uint64_t, own_lease> own_leases_; ///< granted to this host, by incarnation
   warmup_leases entry_leases_;                    ///< granted to entry hosts
   std::set<std::uint64_t> eligible_entry_hosts_;  ///< that could get another lease now
