--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -79,8 +79,8 @@
   if (applied_index_ < pending.index || !may_acknowledge()) return std::nullopt;
   // Without a term the version had been applied before the request, and no entry was proposed.
   const auto it = outcomes_.find(pending.index);
-  if (pending.term != 0 && (it == outcomes_.end() || it->second.term != pending.term ||
-                            !it->second.result.accepted()))
+  if (pending.term != 0 &&
+      (it == outcomes_.end() || it->second.term != pending.term || !it->second.result.accepted()))
     return unconfirmed_version();
   wire::version_reply out;
   out.set_result(wire::version_reply::accepted);
--- a/libraries/control/control_host_operators.cpp
+++ b/libraries/control/control_host_operators.cpp
@@ -140,11 +140,10 @@
   // A retry gets the first result. Planning the change again would refuse it, because the
   // change has already been made.
   if (const auto* first_result = state_.find_result(request.operation_id())) {
-    out.reply = !node_.is_membership_settled()
-                    ? build_members_reply(false, "the change is in progress")
-                : may_acknowledge()
-                    ? build_members_reply(first_result->accepted(), first_result->cause())
-                    : unconfirmed_members();
+    out.reply =
+        !node_.is_membership_settled() ? build_members_reply(false, "the change is in progress")
+        : may_acknowledge() ? build_members_reply(first_result->accepted(), first_result->cause())
+                            : unconfirmed_members();
     return out;
   }
   const auto next = node_.plan(now, change_of(request));
--- a/tests/libraries/control/group_start_test.cpp
+++ b/tests/libraries/control/group_start_test.cpp
@@ -61,7 +61,8 @@
   /// Waits until there is a leader that is in contact with a quorum.
   std::uint64_t elect() {
     for (int n = 0; n < 50; ++n, run(join_interval))
-      if (const auto id = group.leader(); id != 0 && group.host(id).begin_read(group.now)) return id;
+      if (const auto id = group.leader(); id != 0 && group.host(id).begin_read(group.now))
+        return id;
     return 0;
   }
 
@@ -149,8 +150,7 @@
   group.observe(leader);
   const auto has_reply = [&] {
     return host.version_reply_for(declaration.pending) ||
-           host.apply_reply_for(services.pending, request) ||
-           host.drain_reply_for(drained.pending);
+           host.apply_reply_for(services.pending, request) || host.drain_reply_for(drained.pending);
   };
   for (const auto end = group.now + wait_limit / 2; group.now < end; fixture.run(join_interval)) {
     BOOST_TEST_REQUIRE(!has_reply());
--- a/utilities/soak/faults.cpp
+++ b/utilities/soak/faults.cpp
@@ -44,15 +44,23 @@
 
 void faults::apply_random(const std::vector<weighted_fault>& table, time_point now) {
   std::vector<int> weights;
+  weights.reserve(table.size());
   for (const auto& it : table)
     weights.push_back(it.weight);
   std::discrete_distribution<std::size_t> choice(weights.begin(), weights.end());
   (this->*table[choice(engine_)].apply)(now);
 }
 
-// The bootstrap takes some milliseconds, and the group grows for about a second.
+// The bootstrap takes some milliseconds, which a fault at a random time seldom meets. The group
+// then grows for about a second.
 void faults::step_first_start(time_point now) {
-  if (next_fault_ == time_point{}) next_fault_ = now + random_duration(20, 600);
+  constexpr milliseconds bootstrap_limit{500};
+  if (journal_.empty()) {
+    if (next_fault_ == time_point{}) next_fault_ = now + bootstrap_limit;
+    if (!installation_.is_bootstrapping() && now < next_fault_) return;
+    next_fault_ = now + random_duration(20, 900);
+    return kill_all_controls(now);
+  }
   if (now < next_fault_) return;
   next_fault_ = now + random_duration(20, 900);
   apply_random(first_start_table(), now);
--- a/utilities/soak/installation.cpp
+++ b/utilities/soak/installation.cpp
@@ -223,6 +223,17 @@
   }
 }
 
+bool installation::is_bootstrapping() const {
+  for (std::uint32_t n = 1; n <= controls; ++n) {
+    const auto folder = options_.work / ("control" + std::to_string(n));
+    std::error_code ec;
+    if (std::filesystem::exists(folder / "snapshot", ec) &&
+        !std::filesystem::exists(folder / "identity", ec))
+      return true;
+  }
+  return false;
+}
+
 void installation::wipe_data(std::uint32_t control) {
   const auto folder = options_.work / ("control" + std::to_string(control));
   std::error_code ec;
--- a/utilities/soak/installation.h
+++ b/utilities/soak/installation.h
@@ -59,6 +59,8 @@
 
   /// Sends SIGTERM or SIGKILL to a process, which starts again at the given time.
   void stop(member& target, int signal, time_point restart);
+  /// Returns true when a control host has written a part of the files of its first start.
+  bool is_bootstrapping() const;
   /// Deletes the data of a control host that is down.
   void wipe_data(std::uint32_t control);
   /// Appends an incomplete entry to the log of a control host that is down.
