--- a/tests/libraries/control/zone_evacuations_test.cpp
+++ b/tests/libraries/control/zone_evacuations_test.cpp
@@ -216,6 +216,25 @@
   BOOST_TEST(!host.updates(group.now, request).has_evacuations());
 }
 
+// Guards against an order that is lost or takes effect twice when its leader is killed between the
+// order and the acknowledgement, and the receiving host gives it to the next leader.
+BOOST_AUTO_TEST_CASE(an_order_takes_effect_once_when_its_leader_is_lost) {
+  const auto lost = group.leader();
+  const auto request = received(lost % 3 + 1, "a", true);
+  group.host(lost).evacuate(group.now, 1, request);
+  group.observe(lost);
+  group.run(control_group::step_time);
+  group.stop(lost);
+  group.run(milliseconds(3'000));
+  const auto reply = execute(request);
+  BOOST_TEST((reply.result() == wire::apply_reply::accepted));
+  BOOST_TEST(reply.revision() == 1U);
+  group.start(lost);
+  group.run(milliseconds(1'000));
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    BOOST_TEST(group.host(id).evacuations().version() == 1U);
+}
+
 // Guards against an order that is acknowledged by a leader without a quorum and lost with it.
 BOOST_AUTO_TEST_CASE(an_order_without_a_quorum_is_not_acknowledged) {
   const auto old_leader = group.leader();
