--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -306,10 +306,10 @@
     double rate = 0;
     time_point expires;
   };
-  std::uint64_t limits_version_ = 0;   ///< of the declaration whose warm-up limits are in force
-  std::uint64_t granting_term_ = 0;    ///< the last term in which this host was the leader
-  time_point granting_from_;           ///< when its first grant in this term is permitted
-  warmup_leases control_leases_;       ///< granted to control hosts, as the leader
+  std::uint64_t limits_version_ = 0; ///< of the declaration whose warm-up limits are in force
+  std::uint64_t granting_term_ = 0;  ///< the last term in which this host was the leader
+  time_point granting_from_;         ///< when its first grant in this term is permitted
+  warmup_leases control_leases_;     ///< granted to control hosts, as the leader
   std::map<std::uint64_t, own_lease> own_leases_; ///< granted to this host, by incarnation
   warmup_leases entry_leases_;                    ///< granted to entry hosts
   std::set<std::uint64_t> eligible_entry_hosts_;  ///< that could get another lease now
--- a/include/zinniarelay/control/warmup_leases.h
+++ b/include/zinniarelay/control/warmup_leases.h
@@ -12,10 +12,10 @@
 namespace zinnia {
 
 /// Exclusive leases of cold upstreams (docs/design.md R44), as the leader of the control group
-/// grants them to control hosts and a control host to entry hosts. Answers the load pattern in which
-/// an upstream that has just started gets flows from all entry hosts at once, and the failures in
-/// which a holder is paused, partitioned or replaced. The holders count their leases from the time
-/// at which they sent their requests.
+/// grants them to control hosts and a control host to entry hosts. Answers the load pattern in
+/// which an upstream that has just started gets flows from all entry hosts at once, and the
+/// failures in which a holder is paused, partitioned or replaced. The holders count their leases
+/// from the time at which they sent their requests.
 class warmup_leases {
 public:
   /// Records that a holder asks for leases.
@@ -36,7 +36,7 @@
 private:
   struct lease {
     std::uint64_t holder = 0;
-    time_point since;   ///< of this holder's first grant
+    time_point since; ///< of this holder's first grant
     time_point expires;
   };
 
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -72,7 +72,8 @@
 
   /// Records the warm-up grants of a reply; `requested` is when the request was sent.
   void record_grants(time_point requested, const wire::news_reply& reply);
-  /// Records whether an update is from a restored view, whose upstreams may be earlier incarnations.
+  /// Records whether an update is from a restored view, whose upstreams may be earlier
+  /// incarnations.
   void record_origin(time_point now, const wire::news_reply& reply);
   /// Makes the upstreams of a zone cold from now on for the warm-up of their services.
   void count_zone_as_cold(time_point now, const std::string& zone) {
@@ -138,8 +139,8 @@
   std::uint64_t list_source_ = 0; ///< process whose list of upstreams was merged last
   bool is_last_update_complete_ = false;
   std::optional<std::uint64_t> confirmed_version_;
-  bool is_view_restored_ = false;  ///< and no other update has arrived since
-  time_point restored_view_ended_; ///< end of the uncertainty about a restored view
+  bool is_view_restored_ = false;     ///< and no other update has arrived since
+  time_point restored_view_ended_;    ///< end of the uncertainty about a restored view
   std::optional<time_point> resumed_; ///< end of a suspension; unset after an update since then
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
--- a/include/zinniarelay/flow/upstream_directory.h
+++ b/include/zinniarelay/flow/upstream_directory.h
@@ -54,8 +54,8 @@
 
   explicit upstream_directory(milliseconds retention = default_retention) : retention_(retention) {}
 
-  /// Merges a report; `age` is the time since the start of the upstream by the clocks of both, which
-  /// the receiver of a report from the upstream knows.
+  /// Merges a report; `age` is the time since the start of the upstream by the clocks of both,
+  /// which the receiver of a report from the upstream knows.
   merge_result merge(time_point now, const upstream_report& report, origin from,
                      std::optional<milliseconds> age = std::nullopt);
   /// Merges a refresh from another host: the sequence of a later report with the same content.
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -38,8 +38,8 @@
     const flow_table& flows;
   };
 
-  /// Returns the upstream for a new flow; null when none is ready, or when all that are lack a token
-  /// (lacks_token()). The excluded upstream is chosen only if it is the only one.
+  /// Returns the upstream for a new flow; null when none is ready, or when all that are lack a
+  /// token (lacks_token()). The excluded upstream is chosen only if it is the only one.
   const upstream_directory::entry* select(time_point now, const view& known,
                                           const std::string& service, std::uint64_t excluded);
 
@@ -53,8 +53,8 @@
   /// Records that an opening packet for a service with a warm-up limit arrived.
   void record_demand(time_point now) { last_demand_ = now; }
   bool has_demand(time_point now) const;
-  /// Records that upstreams may have restarted unnoticed; until end_uncertainty(), those of services
-  /// with a limit need a token.
+  /// Records that upstreams may have restarted unnoticed; until end_uncertainty(), those of
+  /// services with a limit need a token.
   void begin_uncertainty() { certain_from_ = time_point::max(); }
   void end_uncertainty(time_point from) { certain_from_ = std::min(certain_from_, from); }
   warmup_tokens& tokens() { return tokens_; }
--- a/include/zinniarelay/flow/warmup_limit.h
+++ b/include/zinniarelay/flow/warmup_limit.h
@@ -25,8 +25,7 @@
 warmup_limits warmup_limits_of(const Services& services) {
   warmup_limits out;
   for (const auto& it : services)
-    if (it.warmup_rate() > 0)
-      out[it.name()] = {milliseconds(it.warmup_ms()), it.warmup_rate()};
+    if (it.warmup_rate() > 0) out[it.name()] = {milliseconds(it.warmup_ms()), it.warmup_rate()};
   return out;
 }
 
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -207,9 +207,8 @@
 
 // Upstreams.
 
-upstream_directory::merge_result control_host::merge_report(time_point now,
-                                                            const upstream_report& value,
-                                                            std::uint64_t wall_ms) {
+upstream_directory::merge_result
+control_host::merge_report(time_point now, const upstream_report& value, std::uint64_t wall_ms) {
   follow_limits();
   std::optional<milliseconds> age;
   if (wall_ms != 0)
--- a/libraries/control/control_host_warmup.cpp
+++ b/libraries/control/control_host_warmup.cpp
@@ -73,7 +73,8 @@
   for (const auto incarnation : request.incarnations()) {
     if (out.grants_size() >= max_requested) break;
     const auto* upstream = upstreams_.find(incarnation);
-    const auto* limit = upstream == nullptr ? nullptr : upstreams_.limit_of(upstream->report.service);
+    const auto* limit =
+        upstream == nullptr ? nullptr : upstreams_.limit_of(upstream->report.service);
     if (limit == nullptr) continue;
     const auto until = now + lease_duration + leader_margin;
     if (!control_leases_.grant(now, incarnation, request.holder(), until)) {
@@ -95,8 +96,9 @@
   const bool has_new = std::any_of(cold.begin(), cold.end(), [&](auto incarnation) {
     return !last_requested_.contains(incarnation);
   });
-  if (cold.empty() || now < next_warmup_request_ - (has_new ? request_interval - min_request_interval
-                                                            : milliseconds(0)))
+  if (cold.empty() ||
+      now < next_warmup_request_ -
+                (has_new ? request_interval - min_request_interval : milliseconds(0)))
     return std::nullopt;
   next_warmup_request_ = now + request_interval;
   last_requested_ = {cold.begin(), cold.end()};
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -30,8 +30,8 @@
 
 const char* name_of(flow_decision::reason_type reason) {
   constexpr std::array<const char*, flow_decision::reason_count> names{
-      "opened",      "reopened",    "moved",        "routed",    "no_route",
-      "no_upstream", "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
+      "opened",      "reopened",     "moved",     "routed",   "no_route", "no_upstream",
+      "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/libraries/flow/upstream_directory.cpp
+++ b/libraries/flow/upstream_directory.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-upstream_directory::merge_result
-upstream_directory::merge(time_point now, const upstream_report& report, origin from,
-                          std::optional<milliseconds> age) {
+upstream_directory::merge_result upstream_directory::merge(time_point now,
+                                                           const upstream_report& report,
+                                                           origin from,
+                                                           std::optional<milliseconds> age) {
   const auto it = entries_.find(report.incarnation());
   if (it == entries_.end()) return add(now, report, from, age);
   auto& existing = it->second;
@@ -93,9 +94,9 @@
   return is_changed;
 }
 
-upstream_directory::merge_result
-upstream_directory::add(time_point now, const upstream_report& report, origin from,
-                        std::optional<milliseconds> age) {
+upstream_directory::merge_result upstream_directory::add(time_point now,
+                                                         const upstream_report& report, origin from,
+                                                         std::optional<milliseconds> age) {
   const auto key = report.incarnation();
   forgotten_.erase(key);
   entry added;
@@ -130,8 +131,7 @@
     reported.warmup_end = now + reported.report.warmup;
     return;
   }
-  if (stated > milliseconds(0))
-    reported.warmup_end = std::max(reported.warmup_end, now + stated);
+  if (stated > milliseconds(0)) reported.warmup_end = std::max(reported.warmup_end, now + stated);
   if (const auto end = unstated_warmup_end(reported)) {
     reported.warmup_end = std::max(reported.warmup_end, *end);
     reported.has_warmup = true;
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -13,7 +13,8 @@
 constexpr milliseconds isolation_timeout{2'000};
 // Control hosts reply to entry hosts every 500 ms.
 constexpr milliseconds grant_timeout{1'500};
-// A host without opening packets for services with a limit for this long leaves the leases to others.
+// A host without opening packets for services with a limit for this long leaves the leases to
+// others.
 constexpr milliseconds demand_timeout{5'000};
 
 } // namespace
@@ -62,8 +63,8 @@
   }
 }
 
-// Uses the clock of the tokens, which never goes back: a held packet is decided with the time of its
-// arrival.
+// Uses the clock of the tokens, which never goes back: a held packet is decided with the time of
+// its arrival.
 bool upstream_selector::needs_token(const view& known,
                                     const upstream_directory::entry& upstream) const {
   if (known.upstreams.limit_of(upstream.report.service) == nullptr) return false;
--- a/libraries/flow/warmup_tokens.cpp
+++ b/libraries/flow/warmup_tokens.cpp
@@ -36,8 +36,7 @@
 }
 
 bool warmup_tokens::has_token(std::uint64_t incarnation) const {
-  return has_lease(clock_, incarnation) &&
-         tokens_of(buckets_.at(incarnation)) >= 1 - tolerance;
+  return has_lease(clock_, incarnation) && tokens_of(buckets_.at(incarnation)) >= 1 - tolerance;
 }
 
 bool warmup_tokens::take(std::uint64_t incarnation) {
@@ -62,8 +61,9 @@
 }
 
 std::size_t warmup_tokens::leases() const {
-  return static_cast<std::size_t>(std::count_if(
-      buckets_.begin(), buckets_.end(), [&](const auto& it) { return clock_ < it.second.expires; }));
+  return static_cast<std::size_t>(
+      std::count_if(buckets_.begin(), buckets_.end(),
+                    [&](const auto& it) { return clock_ < it.second.expires; }));
 }
 
 } // namespace zinnia
--- a/services/controld/flow_control_warmup.cpp
+++ b/services/controld/flow_control_warmup.cpp
@@ -68,8 +68,8 @@
       has_leases = is_granted;
     }
     publish_warmup();
-    stopped_.wait_for(lock, shared_.host.upstreams().has_limits() ? check_interval
-                                                                  : idle_check_interval);
+    stopped_.wait_for(lock,
+                      shared_.host.upstreams().has_limits() ? check_interval : idle_check_interval);
   }
 }
 
--- a/tests/libraries/control/warmup_grants_test.cpp
+++ b/tests/libraries/control/warmup_grants_test.cpp
@@ -33,7 +33,8 @@
       group.host(id).merge_report(group.now, report);
   }
 
-  wire::grant_reply grant(std::uint64_t id, const std::optional<control_host::read_ticket>& ticket) {
+  wire::grant_reply grant(std::uint64_t id,
+                          const std::optional<control_host::read_ticket>& ticket) {
     wire::grant_request request;
     request.set_holder(holder);
     request.add_incarnations(report.incarnation());
--- a/tests/libraries/platform/operator_api_test.cpp
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -97,8 +97,8 @@
 // Guards against warm-up limits that are lost in decoding, or rounded down to a shorter time.
 BOOST_AUTO_TEST_CASE(warmup_limits_are_decoded) {
   const auto decode = [](const std::string& fields) {
-    return platform::decode_declaration(R"({"version": 1, "routes": [], "services": [{"name": "s")" +
-                                        fields + "}]}");
+    return platform::decode_declaration(
+        R"({"version": 1, "routes": [], "services": [{"name": "s")" + fields + "}]}");
   };
   const auto read = decode(R"(, "warmupS": 2.5004, "warmupPerS": 1.25)");
   BOOST_TEST_REQUIRE(read.has_value());
@@ -108,9 +108,9 @@
   BOOST_TEST(decode("").value().services(0).warmup_rate() == 0);
   const auto sent = read.value();
   const auto again = platform::decode_declaration(platform::encode_declaration(sent));
-  BOOST_TEST(again.value().services(0).SerializeAsString() ==
-             sent.services(0).SerializeAsString());
-  for (const auto* refused : {"-1", "-0.5", "\"5\"", "true", "null", "[1]", "{}", "1e400", "1e12"}) {
+  BOOST_TEST(again.value().services(0).SerializeAsString() == sent.services(0).SerializeAsString());
+  for (const auto* refused :
+       {"-1", "-0.5", "\"5\"", "true", "null", "[1]", "{}", "1e400", "1e12"}) {
     BOOST_TEST(!decode(std::string(", \"warmupS\": ") + refused).has_value(), refused);
     BOOST_TEST(!decode(std::string(", \"warmupPerS\": ") + refused).has_value(), refused);
   }
--- a/tests/libraries/warmup/warmup_system.h
+++ b/tests/libraries/warmup/warmup_system.h
@@ -35,7 +35,7 @@
   struct entry_host {
     std::optional<flow_host> host;
     std::uint64_t holder = 0;
-    std::uint64_t control = 1;         ///< the control host that it polls
+    std::uint64_t control = 1; ///< the control host that it polls
     microseconds clock_offset{0};
     double clock_speed = 1;
     bool is_frozen = false;
@@ -57,7 +57,7 @@
     upstream_report report;
     time_point started;
     time_point next_report;
-    std::uint64_t control = 1; ///< to which it reports
+    std::uint64_t control = 1;                               ///< to which it reports
     std::optional<milliseconds> told_after{milliseconds(0)}; ///< when it states its warm-up
     milliseconds told_until{60'000};
     bool is_up = true;
@@ -130,9 +130,9 @@
   }
 
   std::uint64_t wall_ms() const {
-    return wall_base_ms + static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                                         group.now.time_since_epoch())
-                                                         .count());
+    return wall_base_ms +
+           static_cast<std::uint64_t>(
+               std::chrono::duration_cast<milliseconds>(group.now.time_since_epoch()).count());
   }
 
   void run(milliseconds duration) {
@@ -172,9 +172,9 @@
   std::size_t openings_while_cold() const {
     std::size_t out = 0;
     for (const auto& [n, it] : upstreams)
-      out += static_cast<std::size_t>(std::count_if(
-          it.openings.begin(), it.openings.end(),
-          [&](auto at) { return at < it.started + warmup; }));
+      out += static_cast<std::size_t>(
+          std::count_if(it.openings.begin(), it.openings.end(),
+                        [&](auto at) { return at < it.started + warmup; }));
     return out;
   }
 
@@ -218,11 +218,10 @@
   void count_holders() {
     for (const auto& [n, it] : upstreams) {
       const auto incarnation = it.report.incarnation();
-      const auto holders =
-          std::count_if(entries.begin(), entries.end(), [&](const auto& entry) {
-            const auto& tokens = entry.host->router().selector().tokens();
-            return tokens.has_lease(clock_of(entry), incarnation);
-          });
+      const auto holders = std::count_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        const auto& tokens = entry.host->router().selector().tokens();
+        return tokens.has_lease(clock_of(entry), incarnation);
+      });
       most_holders = std::max(most_holders, static_cast<std::size_t>(holders));
     }
   }
@@ -318,7 +317,8 @@
       it.control = 1 + it.control % options_.control_hosts;
     }
     if (it.waiting || it.is_cut || !group.is_up(it.control)) {
-      if (!it.waiting && !group.is_up(it.control)) it.control = 1 + it.control % options_.control_hosts;
+      if (!it.waiting && !group.is_up(it.control))
+        it.control = 1 + it.control % options_.control_hosts;
       return;
     }
     entry_host::poll next;
