flow: a held copy counts as one timeout, and held packets are decided at most every 20 ms

Cause: a copy of an opening packet that waits for a token is decided several times, and each decision counted as a timeout of its upstream, which then was suspect. Change: flow_table remembers the last copy that was counted; held packets are released at most every 20 ms, because those of other services cannot use the token.

--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -41,11 +41,12 @@
   flow_decision handle(time_point now, const packet_head& head, std::span<const std::byte> bytes);
   /// Removes and returns the held packets. The owner calls handle() for each of them with the time
   /// of its arrival, so that a packet which still has to wait does so for the rest of its time.
-  std::vector<held_packets::packet> take_held(time_point now) { return held_.take(now); }
-  /// Returns true when a held packet may get the token of a cold upstream.
-  bool may_release_held() const {
-    return held_.size() > 0 && router_.selector().tokens().has_any_token();
+  std::vector<held_packets::packet> take_held(time_point now) {
+    last_release_ = now;
+    return held_.take(now);
   }
+  /// Returns true when a held packet may get the token of a cold upstream.
+  bool may_release_held(time_point now) const;
   /// Returns true when the next request asks for warm-up grants.
   bool wants_grants(time_point now) const;
   /// Makes the upstreams of a zone cold from now on for the warm-up of their services; to be called
@@ -93,6 +94,7 @@
 
   flow_router router_;
   held_packets held_;
+  time_point last_release_;
   readiness readiness_;
   bool needs_complete_declaration_ = false; ///< a change led to another declaration
   time_point last_packet_;
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -14,6 +14,8 @@
 // which a packet is held, or this many without a lease.
 constexpr double max_token_wait_s = 0.8;
 constexpr std::size_t max_waiting_without_lease = 32;
+// Held packets may be for other services than the one with a token, and wait for longer.
+constexpr milliseconds min_release_interval{20};
 
 } // namespace
 
@@ -51,6 +53,11 @@
   return static_cast<double>(held_.size()) >= 1 + rate * max_token_wait_s;
 }
 
+bool flow_host::may_release_held(time_point now) const {
+  return held_.size() > 0 && now - last_release_ >= min_release_interval &&
+         router_.selector().tokens().has_any_token();
+}
+
 bool flow_host::wants_grants(time_point now) const {
   return !readiness_.is_stopping() && router_.upstreams().has_limits() &&
          router_.selector().has_demand(now);
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -79,7 +79,7 @@
   if (upstreams_.limit_of(service) != nullptr) selector_.record_demand(now);
   std::uint64_t excluded = 0;
   auto why = reason::opened;
-  if (const auto* existing = flows_.find(key); existing != nullptr && is_opening(now, *existing)) {
+  if (auto* existing = flows_.find(key); existing != nullptr && is_opening(now, *existing)) {
     const auto* current = upstreams_.find(existing->upstream);
     // A duplicate that the network created has the same copy number as its original. Both go
     // to the same upstream.
@@ -92,8 +92,11 @@
     }
     // The caller sent another copy because it got no answer: the upstream is full,
     // unreachable or has crashed.
-    if (head.acknowledged > existing->opening_copies)
+    // A held copy is decided several times.
+    if (head.acknowledged > std::max(existing->opening_copies, existing->unanswered_copies)) {
+      existing->unanswered_copies = head.acknowledged;
       selector_.record_timeout(now, upstreams_, existing->upstream);
+    }
     excluded = existing->upstream;
     why = reason::moved;
   }
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -102,7 +102,7 @@
     if (count > 0) handle_packets(now, count);
     host_.tick(now);
     updates_->set_warmup_holder(host_.wants_grants(now) ? warmup_holder_ : 0);
-    if (host_.may_release_held()) release_held_packets(now);
+    if (host_.may_release_held(now)) release_held_packets(now);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
--- a/tests/libraries/flow/warmup_tokens_test.cpp
+++ b/tests/libraries/flow/warmup_tokens_test.cpp
@@ -94,6 +94,23 @@
   BOOST_TEST((system.open(201, 40'001, 1).action == action::hold));
 }
 
+// Guards against a copy that counts as several timeouts, because it is decided again while it waits
+// for a token: the upstream, which is warm meanwhile, would be suspect.
+BOOST_AUTO_TEST_CASE(held_copy_counts_as_one_timeout) {
+  cold_upstream system;
+  const auto other = report_of("i-2", 8002, "");
+  system.grant(4'500, 700);
+  BOOST_TEST((system.open(4'510, 40'001).action == action::forward));
+  for (int n = 0; n < 3; ++n)
+    BOOST_TEST((system.open(4'520 + n, 40'001, 1).action != action::forward));
+  auto update = update_of({other});
+  system.router.merge_update(time_at(milliseconds(5'300)), update);
+  std::size_t to_first = 0;
+  for (std::uint16_t n = 0; n < 20; ++n)
+    to_first += system.open(5'301, static_cast<std::uint16_t>(41'000 + n)).destination.port == 8001;
+  BOOST_TEST(to_first > 0U);
+}
+
 // Guards against callers that wait although no token can arrive.
 BOOST_AUTO_TEST_CASE(without_contact_a_flow_is_reset_at_once) {
   cold_upstream system;
--- a/tests/libraries/warmup/warmup_system.h
+++ b/tests/libraries/warmup/warmup_system.h
@@ -371,7 +371,7 @@
     for (const auto& head : std::exchange(it.arrived, {}))
       decide(it, now, head, {});
     it.host->tick(now);
-    if (it.host->may_release_held()) decide_held(it, now);
+    if (it.host->may_release_held(now)) decide_held(it, now);
   }
 
   void decide_held(entry_host& it, time_point now) {
