tests: the held copy's upstream reports in time

The test expected flows to an upstream that is suspect for missing reports; it failed with and without the fault that it guards against. Result: test_flow and test_warmup pass.

--- a/tests/libraries/flow/warmup_tokens_test.cpp
+++ b/tests/libraries/flow/warmup_tokens_test.cpp
@@ -103,8 +103,10 @@
   BOOST_TEST((system.open(4'510, 40'001).action == action::forward));
   for (int n = 0; n < 3; ++n)
     BOOST_TEST((system.open(4'520 + n, 40'001, 1).action != action::forward));
-  auto update = update_of({other});
-  system.router.merge_update(time_at(milliseconds(5'300)), update);
+  auto later = system.report;
+  later.sequence = 2;
+  later.warmup = milliseconds(0);
+  system.router.merge_update(time_at(milliseconds(5'300)), update_of({later, other}));
   std::size_t to_first = 0;
   for (std::uint16_t n = 0; n < 20; ++n)
     to_first += system.open(5'301, static_cast<std::uint16_t>(41'000 + n)).destination.port == 8001;
