--- a/benchmarks/load_reports.cpp
+++ b/benchmarks/load_reports.cpp
@@ -97,6 +97,7 @@
     double spent = 0;
     for (int second = 0; second < seconds; ++second) {
       std::vector<std::string> reports;
+      reports.reserve(reports_per_second);
       for (int n = 0; n < reports_per_second; ++n)
         reports.push_back(encoded_report(n % hosts, ++sequence));
       const auto started = processor_microseconds();
@@ -116,10 +117,10 @@
     const auto spent = microseconds_per_second(hosts);
     const bool is_met = spent <= max_microseconds_per_second;
     is_within_bound = is_within_bound && is_met;
-    std::printf("load reports, %d a second of %d entry hosts | %.0f us a second | at most %.0f us | "
-                "%s\n",
-                reports_per_second, hosts, spent, max_microseconds_per_second,
-                is_met ? "held" : "missed");
+    std::printf(
+        "load reports, %d a second of %d entry hosts | %.0f us a second | at most %.0f us | "
+        "%s\n",
+        reports_per_second, hosts, spent, max_microseconds_per_second, is_met ? "held" : "missed");
   }
   return is_within_bound ? 0 : 1;
 }
