--- a/tests/libraries/flow/spillover_policy_test.cpp
+++ b/tests/libraries/flow/spillover_policy_test.cpp
@@ -145,6 +145,14 @@
   BOOST_TEST(offered < 0.9 * 12 * upstream_flows_per_s * measured.count() / 1'000);
 }
 
+// Load pattern: every zone is offered more than it can serve, one of them by far. Guards against
+// flows that leave because the upstreams of a full zone are suspect, and displace others.
+BOOST_AUTO_TEST_CASE(full_zones_keep_their_excess) {
+  auto model = model_of({zone_of(6, 2.3), zone_of(12, 1.15), zone_of(12, 1.15)});
+  model.run(settling);
+  BOOST_TEST(model.run(measured)[0].left(0) < 0.02);
+}
+
 // Load pattern: a zone is cut off while it takes spillover. Guards against flows into the cut.
 BOOST_AUTO_TEST_CASE(zone_that_is_cut_off_gets_nothing) {
   auto model = model_of({zone_of(12, 1.0), zone_of(12, 0.3), zone_of(12, 0.3)});
--- a/tests/libraries/flow/spillover_selection_test.cpp
+++ b/tests/libraries/flow/spillover_selection_test.cpp
@@ -81,6 +81,27 @@
   BOOST_TEST(count_of_zone_b(destinations(zone_spillover::adaptive, figures::present)) > 100U);
 }
 
+// Load pattern: no upstream of the zone answers, and their reports still count as recent. Guards
+// against flows that are lost because the figures, in which they look like load, keep them there.
+BOOST_AUTO_TEST_CASE(later_copies_leave_a_zone_that_does_not_answer) {
+  flow_host_settings settings;
+  settings.router.selection.zone = "a";
+  settings.router.selection.spillover = zone_spillover::adaptive;
+  flow_host host(settings, random_engine(1), time_at({}));
+  std::vector<endpoint> last;
+  for (std::uint16_t n = 0; n < 100; ++n) {
+    const auto now = time_at(milliseconds(10 * n));
+    if (n % 50 == 0) host.apply(now, update_with(figures::present), now);
+    host.tick(now);
+    flow_decision decision;
+    for (std::uint32_t copies = 0; copies < 3 && decision.other_zone == nullptr; ++copies)
+      decision = host.handle(now, opening_packet(n, copies), {});
+    if (decision.other_zone != nullptr) host.handle(now, flow_packet(n, decision.route_tag), {});
+    last.push_back(decision.destination);
+  }
+  BOOST_TEST(count_of_zone_b(last) > 80U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
