--- a/tests/support/zone_flow_model.h
+++ b/tests/support/zone_flow_model.h
@@ -165,7 +165,7 @@
     settings.cross_zone_price = options_.price;
     hosts_.push_back({z, std::make_unique<upstream_selector>(settings, random_engine(engine_())),
                       std::make_unique<flow_table>()});
-    hosts_.back().selector->index_services(directory_);
+    hosts_.back().selector->index_services(directory_, {});
   }
 
   void step() {
@@ -261,7 +261,7 @@
   void open(flow it) {
     auto& from = hosts_[it.host];
     if (it.copies > 0 && it.upstream != 0) {
-      from.selector->record_timeout(now_, directory_, it.upstream);
+      from.selector->record_timeout(now_, directory_, it.upstream, it.begun);
       --sums_[static_cast<std::size_t>(it.zone)].open[upstream_of(it.upstream).zone];
     }
     it.upstream = select(it);
