--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -3,6 +3,7 @@
 #include "flow.pb.h"
 #include "operator.pb.h"
 #include "zinniarelay/control/group_policy.h"
+#include "zinniarelay/control/group_size_policy.h"
 #include "zinniarelay/control/start_notices.h"
 #include "zinniarelay/control/warmup_leases.h"
 #include "zinniarelay/core/encoded_contents.h"
@@ -14,6 +15,7 @@
 #include "zinniarelay/flow/declaration_contents.h"
 #include "zinniarelay/flow/declaration_history.h"
 #include "zinniarelay/flow/evacuated_zones.h"
+#include "zinniarelay/flow/load_summary.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/replication/control_state.h"
 #include "zinniarelay/replication/log_store.h"
@@ -42,6 +44,7 @@
   /// Set for a group that forms and repairs itself (docs/design.md R33).
   std::optional<group_settings> group;
   std::vector<std::string> zones; ///< names that operators may evacuate without an upstream in them
+  bool has_load_reports = false;  ///< whether load reports of entry hosts are accepted
 };
 
 /// The control role: replicated log, applied state, replies to operators and entry hosts,
@@ -91,6 +94,11 @@
   /// the folder no longer belongs to this host.
   result<void> reopen(time_point now);
 
+  /// Returns true when an operator's change that this host has applied may be acknowledged: it
+  /// then survives as many losses as the group is configured to tolerate (docs/design.md R48).
+  /// Every reply that acknowledges a change waits for this, also one to a repeated request.
+  bool may_acknowledge() const;
+
   submission<wire::apply_reply> apply(time_point now, std::uint64_t wall_ms,
                                       const wire::apply_request& request);
   submission<wire::apply_reply> drain(time_point now, std::uint64_t wall_ms,
@@ -107,8 +115,8 @@
   wire::apply_reply unconfirmed_apply() const;
   wire::members_reply unconfirmed_members() const;
 
-  /// Proposes a declaration of packet flows. Accepts immediately when a version at least as
-  /// high is in force. The calling code has validated the declaration.
+  /// Proposes a declaration of packet flows. Accepts without a proposal when a version at least
+  /// as high is in force. The calling code has validated the declaration.
   submission<wire::version_reply> apply_version(time_point now, std::uint64_t wall_ms,
                                                 const wire::version_request& request);
   std::optional<wire::version_reply> version_reply_for(const ticket& pending) const;
@@ -215,6 +223,12 @@
   };
   warmup_status warmup(time_point now) const;
 
+  /// Records a load report that an entry host sent from an address (docs/design/load-reports.md).
+  /// Ignored without has_load_reports.
+  void record_load(time_point now, const endpoint& from, const wire::flow_load& report);
+  const load_summary& loads() const { return loads_; }
+  /// Returns the upstreams that have become suspect since the last call.
+  std::vector<std::uint64_t> take_new_suspects() { return loads_.take_new_suspects(); }
   /// Returns a random number that distinguishes this process from an earlier one at the same
   /// address.
   std::uint64_t source() const { return source_; }
@@ -258,6 +272,7 @@
                                         wire::control_command command);
   /// Returns why a command must not be proposed, or an empty string.
   std::string check(const wire::control_command& command) const;
+  std::string unconfirmed_cause() const;
   wire::apply_reply build_apply_reply(const wire::operation_result& result) const;
   wire::members_reply build_members_reply(bool is_accepted, const std::string& cause) const;
   void add_changes(time_point now, const wire::sync_request& request, wire::sync_reply& reply);
@@ -289,6 +304,11 @@
   void add_warmup_grants(time_point now, const wire::news_request& request, time_point received,
                          wire::news_reply& reply);
   bool has_new_grant(const wire::news_request& request) const;
+  /// Returns true when the entry host lacks a suspect upstream.
+  bool has_urgent_suspects(time_point now, const wire::news_request& request) const;
+  void add_load_metrics(time_point now, wire::metrics_reply& out) const;
+  /// Adds the suspect upstreams and the sums of the load reports.
+  void add_loads(time_point now, const wire::news_request& request, wire::news_reply& reply);
   bool has_quorum(time_point now) const;
   /// Whether this host serves its restored view until its first contact with a quorum.
   bool serves_restored_view(time_point now) const;
@@ -314,6 +334,7 @@
   encoded_contents configuration_contents_;
   std::uint64_t source_ = 0;
   std::optional<group_policy> group_;
+  std::optional<group_size_policy> group_size_;
   std::uint64_t group_changes_ = 0;
   wire::versioned_declaration flows_;
   declaration_history history_;
@@ -324,6 +345,7 @@
   time_point started_;
   upstream_directory upstreams_;
   start_notices notices_;
+  load_summary loads_;
   compact_replies compact_replies_;
   declaration_contents declaration_contents_;
   struct {
@@ -332,19 +354,20 @@
     std::optional<wire::upstream_liveness> content;
   } liveness_; ///< in the last replies
   std::optional<time_point> last_tick_;
-  time_point next_expiry_; ///< when the upstreams without reports are removed next
+  time_point next_expiry_;            ///< when the upstreams without reports are removed next
   std::optional<time_point> resumed_; ///< end of the last suspension
   struct own_lease {
     double rate = 0;
     time_point expires;
   };
-  std::uint64_t limits_version_ = 0;   ///< of the declaration whose warm-up limits are in force
-  std::uint64_t granting_term_ = 0;    ///< the last term in which this host was the leader
-  time_point granting_from_;           ///< when its first grant in this term is permitted
-  warmup_leases control_leases_;       ///< granted to control hosts, as the leader
+  std::uint64_t limits_version_ = 0; ///< of the declaration whose warm-up limits are in force
+  std::uint64_t granting_term_ = 0;  ///< the last term in which this host was the leader
+  time_point granting_from_;         ///< when its first grant in this term is permitted
+  warmup_leases control_leases_;     ///< granted to control hosts, as the leader
   std::map<std::uint64_t, own_lease> own_leases_; ///< granted to this host, by incarnation
   warmup_leases entry_leases_;                    ///< granted to entry hosts
   std::set<std::uint64_t> eligible_entry_hosts_;  ///< that could get another lease now
+  std::set<std::uint64_t> full_entry_hosts_;      ///< that get as many leases as a reply contains
   std::set<std::uint64_t> last_requested_;        ///< incarnations
   time_point next_warmup_request_;
   struct {
--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -41,11 +41,12 @@
   flow_decision handle(time_point now, const packet_head& head, std::span<const std::byte> bytes);
   /// Removes and returns the held packets. The owner calls handle() for each of them with the time
   /// of its arrival, so that a packet which still has to wait does so for the rest of its time.
-  std::vector<held_packets::packet> take_held(time_point now) { return held_.take(now); }
-  /// Returns true when a held packet may get the token of a cold upstream.
-  bool may_release_held() const {
-    return held_.size() > 0 && router_.selector().tokens().has_any_token();
+  std::vector<held_packets::packet> take_held(time_point now) {
+    last_release_ = now;
+    return held_.take(now);
   }
+  /// Returns true when a held packet may get the token of a cold upstream.
+  bool may_release_held(time_point now) const;
   /// Returns true when the next request asks for warm-up grants.
   bool wants_grants(time_point now) const;
   /// Makes the upstreams of a zone cold from now on for the warm-up of their services; to be called
@@ -74,9 +75,18 @@
   std::optional<milliseconds> record_iteration(time_point now);
   /// Removes idle flows and expired upstreams.
   void tick(time_point now) { router_.tick(now); }
+  /// Returns the load report to send to the control hosts now; no value when none is due.
+  std::optional<wire::flow_load> take_due_load(time_point now) {
+    return router_.take_due_load(now);
+  }
   /// Makes the host not ready and starts the delays before its exit.
   void stop(time_point now) { readiness_.stop(now); }
 
+  /// Removes and returns the starts and ends of cross-zone spillover since the last call.
+  std::vector<spillover_policy::change> take_spillover_changes() {
+    return router_.selector().take_spillover_changes();
+  }
+
   bool is_ready() const { return readiness_.is_ready(); }
   bool is_stopping() const { return readiness_.is_stopping(); }
   /// Returns true when a stopping host is out of rotation or its grace period has passed.
@@ -97,6 +107,7 @@
 
   flow_router router_;
   held_packets held_;
+  time_point last_release_;
   readiness readiness_;
   bool needs_complete_declaration_ = false; ///< a change led to another declaration
   time_point last_packet_;
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -5,6 +5,7 @@
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/evacuated_zones.h"
 #include "zinniarelay/flow/flow_table.h"
+#include "zinniarelay/flow/load_reporter.h"
 #include "zinniarelay/flow/packet_head.h"
 #include "zinniarelay/flow/route_table.h"
 #include "zinniarelay/flow/upstream_directory.h"
@@ -23,6 +24,8 @@
   /// After a suspension of the process, opening packets are dropped until an update that was
   /// requested since then has arrived, at most for this long.
   milliseconds outdated_view_timeout{1'500};
+  /// Set when this host exchanges load reports with the control hosts.
+  std::optional<load_reporter::identity> load_reports;
 };
 
 /// The decision on one packet.
@@ -56,6 +59,8 @@
   std::uint32_t route_tag = 0;              ///< forward: written into the packet
   /// Time since the opening; set for the first packet that shows that the caller has an answer.
   std::optional<milliseconds> answered_after = std::nullopt;
+  /// forward: the upstream's zone when it is not the zone of this host; valid until the next call
+  const std::string* other_zone = nullptr;
 };
 
 /// Returns the reason as used in logs and metrics, for instance "no_route".
@@ -67,14 +72,18 @@
 class flow_router {
 public:
   flow_router(flow_router_settings settings, random_engine engine)
-      : settings_(std::move(settings)), selector_(settings_.selection, engine) {}
+      : settings_(std::move(settings)), selector_(settings_.selection, engine) {
+    if (settings_.load_reports)
+      load_reporter_.emplace(*settings_.load_reports, random_engine(engine()));
+  }
 
   /// Decides on a packet that arrived from a caller, and counts the decision by its reason.
   flow_decision route(time_point now, const packet_head& head);
 
   /// Records the warm-up grants of a reply; `requested` is when the request was sent.
   void record_grants(time_point requested, const wire::news_reply& reply);
-  /// Records whether an update is from a restored view, whose upstreams may be earlier incarnations.
+  /// Records whether an update is from a restored view, whose upstreams may be earlier
+  /// incarnations.
   void record_origin(time_point now, const wire::news_reply& reply);
   /// Makes the upstreams of a zone cold from now on for the warm-up of their services.
   void count_zone_as_cold(time_point now, const std::string& zone) {
@@ -117,15 +126,22 @@
   /// Removes idle flows and expired upstreams, at most every 100 ms.
   void tick(time_point now);
 
+  upstream_selector& selector() { return selector_; }
+  const upstream_selector& selector() const { return selector_; }
   const route_table& routes() const { return routes_; }
   const upstream_directory& upstreams() const { return upstreams_; }
   const flow_table& flows() const { return flows_; }
   const evacuated_zones& evacuations() const { return evacuations_; }
   /// Returns the number of openings for which upstreams of evacuated zones were left out.
   std::uint64_t openings_kept_away() const { return selector_.kept_away(); }
-  const upstream_selector& selector() const { return selector_; }
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
+  /// Uses the suspects and the sums of a reply of a control host (docs/design/load-reports.md).
+  /// Ignored when this host sends no load reports.
+  void apply_loads(time_point now, const wire::news_reply& reply);
+  /// Returns the load report to send to the control hosts now; no value when none is due.
+  std::optional<wire::flow_load> take_due_load(time_point now);
+
 private:
   /// Decides on an opening packet.
   flow_decision open_flow(time_point now, const packet_head& head);
@@ -146,12 +162,13 @@
   flow_table flows_;
   evacuated_zones evacuations_;
   upstream_selector selector_;
+  std::optional<load_reporter> load_reporter_;
   bool is_list_complete_ = false;
   std::uint64_t list_source_ = 0; ///< process whose list of upstreams was merged last
   bool is_last_update_complete_ = false;
   std::optional<std::uint64_t> confirmed_version_;
-  bool is_view_restored_ = false;  ///< and no other update has arrived since
-  time_point restored_view_ended_; ///< end of the uncertainty about a restored view
+  bool is_view_restored_ = false;     ///< and no other update has arrived since
+  time_point restored_view_ended_;    ///< end of the uncertainty about a restored view
   std::optional<time_point> resumed_; ///< end of a suspension; unset after an update since then
   time_point next_expiry_;
   std::array<std::uint64_t, flow_decision::reason_count> counts_{};
--- a/include/zinniarelay/flow/flow_table.h
+++ b/include/zinniarelay/flow/flow_table.h
@@ -18,9 +18,10 @@
     std::uint64_t upstream = 0; ///< incarnation
     time_point opened;
     time_point last_packet;
-    std::uint32_t opening_copies = 0; ///< repetitions of the opening packet so far
-    bool is_answered = false;         ///< the caller has received a packet of the upstream
-    bool is_closed = false;           ///< kept for packets that arrive after the end of the flow
+    std::uint32_t opening_copies = 0;    ///< repetitions of the opening packet so far
+    std::uint32_t unanswered_copies = 0; ///< the last copy that was recorded as a timeout
+    bool is_answered = false;            ///< the caller has received a packet of the upstream
+    bool is_closed = false;              ///< kept for packets that arrive after the end of the flow
   };
 
   /// Returns the flow, or null.
@@ -36,6 +37,8 @@
 
   /// Returns the number of open flows of an upstream in this table.
   std::uint32_t open_flows(std::uint64_t upstream) const;
+  /// Returns the numbers of open flows by upstream, without those that have none.
+  const std::unordered_map<std::uint64_t, std::uint32_t>& open_flows() const { return open_flows_; }
   std::size_t size() const { return flows_.size(); }
 
 private:
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -14,6 +14,10 @@
 // which a packet is held, or this many without a lease.
 constexpr double max_token_wait_s = 0.8;
 constexpr std::size_t max_waiting_without_lease = 32;
+// The ages in a reply count from when it was sent, which may be as early as its request.
+constexpr milliseconds max_load_age{3'000};
+// Held packets may be for other services than the one with a token, and wait for longer.
+constexpr milliseconds min_release_interval{20};
 
 } // namespace
 
@@ -51,6 +55,11 @@
   return static_cast<double>(held_.size()) >= 1 + rate * max_token_wait_s;
 }
 
+bool flow_host::may_release_held(time_point now) const {
+  return held_.size() > 0 && now - last_release_ >= min_release_interval &&
+         router_.selector().tokens().has_any_token();
+}
+
 bool flow_host::wants_grants(time_point now) const {
   return !readiness_.is_stopping() && router_.upstreams().has_limits() &&
          router_.selector().has_demand(now);
@@ -71,6 +80,7 @@
   router_.record_origin(now, reply);
   router_.record_grants(requested, reply);
   if (trust_of(reply) == declaration_trust::confirmed) router_.confirm(reply.declaration_version());
+  if (now - requested <= max_load_age) router_.apply_loads(now, reply);
   router_.record_update_request(requested);
   last_update_ = now;
   readiness_.set_serving(router_.routes().version() > 0, router_.has_upstreams());
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -30,8 +30,8 @@
 
 const char* name_of(flow_decision::reason_type reason) {
   constexpr std::array<const char*, flow_decision::reason_count> names{
-      "opened",      "reopened",    "moved",        "routed",    "no_route",
-      "no_upstream", "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
+      "opened",      "reopened",     "moved",     "routed",   "no_route", "no_upstream",
+      "unknown_tag", "not_a_caller", "not_ready", "outdated", "cold"};
   return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -84,7 +84,7 @@
   if (upstreams_.limit_of(service) != nullptr) selector_.record_demand(now);
   std::uint64_t excluded = 0;
   auto why = reason::opened;
-  if (const auto* existing = flows_.find(key); existing != nullptr && is_opening(now, *existing)) {
+  if (auto* existing = flows_.find(key); existing != nullptr && is_opening(now, *existing)) {
     const auto* current = upstreams_.find(existing->upstream);
     // A duplicate that the network created has the same copy number as its original. Both go
     // to the same upstream.
@@ -96,8 +96,11 @@
     }
     // The caller sent another copy because it got no answer: the upstream is full,
     // unreachable or has crashed.
-    if (head.acknowledged > existing->opening_copies)
-      selector_.record_timeout(now, upstreams_, existing->upstream);
+    // A held copy is decided several times.
+    if (head.acknowledged > std::max(existing->opening_copies, existing->unanswered_copies)) {
+      existing->unanswered_copies = head.acknowledged;
+      selector_.record_timeout(now, upstreams_, existing->upstream, existing->opened);
+    }
     excluded = existing->upstream;
     why = reason::moved;
   }
@@ -108,6 +111,9 @@
   if (chosen == nullptr) return decision_of(action::reset, reason::no_upstream);
   auto& flow = flows_.open(now, key, chosen->incarnation);
   flow.opening_copies = head.acknowledged;
+  // Later copies of the packet reach other hosts too, where the flow would count again.
+  if (load_reporter_ && why == reason::opened && head.acknowledged == 0)
+    load_reporter_->record_opening(*chosen);
   return forward(*chosen, why);
 }
 
@@ -125,7 +131,7 @@
     if (!flow.is_answered) {
       flow.is_answered = true;
       answered_after = std::chrono::duration_cast<milliseconds>(now - flow.opened);
-      selector_.record_answer(now, *to);
+      selector_.record_answer(now, *to, now - flow.opened);
     }
   }
   if (head.is_end || head.is_reset) flows_.close(key);
@@ -137,7 +143,14 @@
 
 flow_decision flow_router::forward(const upstream_directory::entry& to,
                                    flow_decision::reason_type why) const {
-  return {action::forward, why, to.report.address, &to.report.id, to.route_tag, std::nullopt};
+  const auto is_other_zone = to.report.zone != settings_.selection.zone;
+  return {action::forward,
+          why,
+          to.report.address,
+          &to.report.id,
+          to.route_tag,
+          std::nullopt,
+          is_other_zone ? &to.report.zone : nullptr};
 }
 
 bool flow_router::apply(const wire::flow_declaration& declaration) {
@@ -214,6 +227,17 @@
     selector_.record_zone_contact(it.zone(), now - milliseconds(it.age_ms()));
 }
 
+void flow_router::apply_loads(time_point now, const wire::news_reply& reply) {
+  if (load_reporter_ && reply.has_suspects())
+    selector_.set_suspects(now, upstreams_, reply.suspects());
+  selector_.set_zone_loads(now, {reply.loads().begin(), reply.loads().end()});
+}
+
+std::optional<wire::flow_load> flow_router::take_due_load(time_point now) {
+  if (!load_reporter_) return std::nullopt;
+  return load_reporter_->take_due(now, upstreams_, flows_, selector_);
+}
+
 void flow_router::tick(time_point now) {
   selector_.tokens().advance(now);
   if (now < next_expiry_) return;
@@ -222,6 +246,7 @@
   upstreams_.refresh_warmups(now);
   const auto previous_size = upstreams_.size();
   upstreams_.remove_expired(now);
+  selector_.update_spillover(now, {upstreams_, flows_});
   if (upstreams_.size() == previous_size) return;
   selector_.index_services(upstreams_, evacuations_);
   selector_.remove_expired(upstreams_);
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -34,8 +34,12 @@
   out.router.selection.zone = settings.zone_name();
   // The timeout passes after three missing reports in a row.
   out.router.selection.report_timeout = settings.report_interval() * 3 + milliseconds(500);
+  if (settings.has_adaptive_spillover()) out.router.selection.spillover = zone_spillover::adaptive;
+  out.router.selection.cross_zone_price = settings.cross_zone_price();
   out.rotation.grace_period =
       std::max(settings.stop_grace() - exit_margin, out.rotation.rotation_delay);
+  if (settings.has_load_reports())
+    out.router.load_reports = {settings.name(), settings.zone_name()};
   return out;
 }
 
@@ -77,7 +81,8 @@
   }
   updates_ = std::make_unique<update_client>(
       update_client::identity{settings_.name(), settings_.availability_zone().value,
-                              host_settings(settings_).router.selection.report_timeout},
+                              host_settings(settings_).router.selection.report_timeout,
+                              settings_.has_load_reports()},
       addresses_of(settings_.control_hosts()), random_engine(engine_()), metrics_);
   return success();
 }
@@ -102,7 +107,9 @@
     if (count > 0) handle_packets(now, count);
     host_.tick(now);
     updates_->set_warmup_holder(host_.wants_grants(now) ? warmup_holder_ : 0);
-    if (host_.may_release_held()) release_held_packets(now);
+    if (host_.may_release_held(now)) release_held_packets(now);
+    spillover_report_.log_changes(host_);
+    send_load(now);
     if (now >= next_publish_) publish(now);
     if (now >= next_status_) log_status(now);
     if (watch.has_changed(now, requested.reload.exchange(false))) reload(settings_file);
@@ -133,6 +140,21 @@
       notices_->send(address.value(), presence);
 }
 
+void flow_daemon::send_load(time_point now) {
+  auto load = host_.take_due_load(now);
+  if (!load || !notices_) return;
+  wire::host_notice notice;
+  notice.set_kind(wire::host_notice::load_reported);
+  *notice.mutable_load() = std::move(*load);
+  for (const auto& it : updates_->control_hosts()) {
+    const auto address = endpoint::parse(it);
+    if (!address.has_value()) continue;
+    notices_->send(address.value(), notice);
+    ++loads_sent_;
+    load_bytes_sent_ += notice.ByteSizeLong();
+  }
+}
+
 void flow_daemon::detect_suspension(time_point now) {
   const auto gap = now - std::exchange(last_iteration_, now);
   loop_gaps_.record(std::chrono::duration<double, std::milli>(gap).count());
@@ -221,6 +243,7 @@
   if (!number) return;
   platform::write_route_tag(bytes.subspan(packet_socket::headroom), decision.route_tag);
   platform::write_prefix(bytes.first<platform::prefix_size>(), *number);
+  spillover_report_.record(decision, bytes.size());
   socket_->queue(decision.destination, bytes);
 }
 
@@ -261,13 +284,15 @@
 // declaration that came into force may be gone when it is looked for.
 void flow_daemon::log_status(time_point now) {
   next_status_ = now + status_interval;
-  log_info("status")
-      .with("version", host_.router().routes().version())
+  auto line = log_info("status");
+  line.with("version", host_.router().routes().version())
       .with("in_force_ms", elapsed_ms(host_.in_force_since(), now))
       .with("update_age_ms", elapsed_ms(host_.last_update(), now))
       .with("upstreams", host_.router().upstreams().size())
       .with("open_flows", host_.router().flows().size())
       .with("evacuations_version", host_.evacuations_version());
+  if (settings_.has_load_reports())
+    line.with("shared_suspects", host_.router().selector().shared_suspects());
 }
 
 void flow_daemon::publish(time_point now) {
@@ -292,6 +317,8 @@
   metrics_.gauge_of("evacuations_version").set(static_cast<double>(evacuations.version()));
   metrics_.gauge_of("openings_kept_away")
       .set(static_cast<double>(host_.router().openings_kept_away()));
+  spillover_report_.publish(metrics_, host_);
+  if (settings_.has_load_reports()) publish_loads();
   metrics_.gauge_of("log_lines_dropped").set(static_cast<double>(log_rate_limiter_.dropped()));
 }
 
@@ -304,4 +331,13 @@
   metrics_.gauge_of("warmup_tokens_used").set(static_cast<double>(tokens.used()));
 }
 
+void flow_daemon::publish_loads() {
+  const auto& selector = host_.router().selector();
+  metrics_.gauge_of("load_reports_sent").set(static_cast<double>(loads_sent_));
+  metrics_.gauge_of("load_report_bytes_sent").set(static_cast<double>(load_bytes_sent_));
+  metrics_.gauge_of("shared_suspects").set(static_cast<double>(selector.shared_suspects()));
+  metrics_.gauge_of("zone_loads")
+      .set(static_cast<double>(selector.zone_loads(monotonic_now()).size()));
+}
+
 } // namespace zinnia::flowd
--- a/services/flowd/flow_daemon.h
+++ b/services/flowd/flow_daemon.h
@@ -3,6 +3,7 @@
 #include "packet_socket.h"
 #include "platform/packet_codec.h"
 #include "shared/notice_socket.h"
+#include "spillover_report.h"
 #include "update_client.h"
 #include "zinniarelay/config/flow_settings.h"
 #include "zinniarelay/config/settings_watch.h"
@@ -44,6 +45,8 @@
   void reload(const std::filesystem::path& settings_file);
   /// Receives notices of control hosts that have started, and asks for the next ones.
   void exchange_notices(time_point now);
+  /// Sends a load report to the control hosts when one is due.
+  void send_load(time_point now);
   /// Detects that the process did not run for a while.
   void detect_suspension(time_point now);
   void apply_updates(time_point now);
@@ -61,6 +64,8 @@
   void log_status(time_point now);
   void publish(time_point now);
   void publish_warmup();
+  /// Publishes the metrics of load reports.
+  void publish_loads();
   http_response answer(const http_request& request);
 
   flow_settings settings_;
@@ -71,6 +76,7 @@
   metric_registry metrics_;
   distribution& answer_durations_;
   distribution& loop_gaps_; ///< times between iterations of the loop in run()
+  spillover_report spillover_report_;
   std::unique_ptr<packet_socket> socket_;
   std::unique_ptr<update_client> updates_;
   std::unique_ptr<notice_socket> notices_;
@@ -85,6 +91,8 @@
   time_point next_presence_;
   std::uint64_t malformed_ = 0;
   std::uint64_t unsent_ = 0; ///< datagrams that the system refused
+  std::uint64_t loads_sent_ = 0;
+  std::uint64_t load_bytes_sent_ = 0;
 };
 
 } // namespace zinnia::flowd
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -134,6 +134,25 @@
     BOOST_TEST(!stop_grace_of(it).has_value(), it);
 }
 
+// Guards against a mistyped value that silently leaves spillover off, and against a price without a
+// unit that is taken for another one.
+BOOST_AUTO_TEST_CASE(reads_settings_of_cross_zone_spillover) {
+  const auto settings_with = [&](const std::string& lines) {
+    return load<flow_settings>("name: entry-1\nzone_name: a\npacket_address: 127.0.0.1:7001\n"
+                               "ready_address: 127.0.0.1:7002\n"
+                               "control_hosts: [\"127.0.0.1:9001\"]\n" +
+                               lines);
+  };
+  BOOST_TEST(!settings_with("").value().has_adaptive_spillover());
+  BOOST_TEST(!settings_with("zone_spillover: off\n").value().has_adaptive_spillover());
+  const auto adaptive = settings_with("zone_spillover: adaptive\ncross_zone_price: 25 ms\n");
+  BOOST_TEST(adaptive.value().has_adaptive_spillover());
+  BOOST_TEST((adaptive.value().cross_zone_price() == milliseconds(25)));
+  for (const auto* it : {"zone_spillover: on\n", "zone_spillover: adaptve\n",
+                         "cross_zone_price: 25\n", "cross_zone_price: 13 s\n"})
+    BOOST_TEST(!settings_with(it).has_value(), it);
+}
+
 BOOST_AUTO_TEST_CASE(reports_all_control_faults_with_their_places) {
   const strings expected{
       "1:1 key 'data_folder' is missing in the control settings",
@@ -165,6 +184,24 @@
   BOOST_TEST(settings.value().founding_members().empty());
 }
 
+// Guards against load reports that nobody enabled, and against a host that has no address from
+// which to send them.
+BOOST_AUTO_TEST_CASE(load_reports_are_off_unless_enabled) {
+  const std::string entry = "name: entry-1\nzone_name: a\npacket_address: 127.0.0.1:7001\n"
+                            "ready_address: 127.0.0.1:7002\n"
+                            "control_hosts: [\"127.0.0.1:9001\"]\n";
+  const std::string notices = "notice_address: 127.0.0.1:7100\n";
+  BOOST_TEST(!load<flow_settings>(entry).value().has_load_reports());
+  BOOST_TEST(!load<flow_settings>(entry + "load_reports: off\n").value().has_load_reports());
+  BOOST_TEST(
+      load<flow_settings>(entry + notices + "load_reports: on\n").value().has_load_reports());
+  BOOST_TEST(!load<flow_settings>(entry + "load_reports: on\n").has_value());
+  BOOST_TEST(!load<flow_settings>(entry + "load_reports: yes\n").has_value());
+  BOOST_TEST(!load<control_settings>(valid_control).value().has_load_reports());
+  const auto enabled = std::string("load_reports: on\n") + valid_control;
+  BOOST_TEST(load<control_settings>(enabled).value().has_load_reports());
+}
+
 // Guards against a crash on, or the acceptance of, a document without settings.
 BOOST_AUTO_TEST_CASE(refuses_files_without_a_map) {
   BOOST_TEST(faults_of<entry_settings>("- 1\n- 2\n").front() ==
--- a/utilities/soak/installation.h
+++ b/utilities/soak/installation.h
@@ -46,6 +46,9 @@
   static constexpr std::uint32_t upstreams = 6;
   static constexpr std::uint16_t service_port = 443;
 
+  /// Returns the zone of the host or upstream with this number.
+  static std::string zone_of(std::uint32_t number);
+
   static result<std::unique_ptr<installation>> create(const installation_options& options);
 
   /// Starts the processes whose restart is due and checks which processes have ended. Records an
@@ -59,6 +62,8 @@
 
   /// Sends SIGTERM or SIGKILL to a process, which starts again at the given time.
   void stop(member& target, int signal, time_point restart);
+  /// Returns true when a control host has written a part of the files of its first start.
+  bool is_bootstrapping() const;
   /// Deletes the data of a control host that is down.
   void wipe_data(std::uint32_t control);
   /// Appends an incomplete entry to the log of a control host that is down.
