--- a/include/zinniarelay/control/group_policy.h
+++ b/include/zinniarelay/control/group_policy.h
@@ -21,8 +21,8 @@
   /// A join request expires after this time.
   milliseconds join_request_lifetime{3'000};
   /// The leader of a group with fewer voters waits so long for the others before it acknowledges a
-  /// change. Longer than a host takes that is killed during its first start, starts again and
-  /// joins (up to 5 s in tests), and shorter than operators repeat a request.
+  /// change. Longer than a group takes to form whose processes are killed during their first start
+  /// and started again 0.5 s later (up to 3.8 s in review/2).
   milliseconds full_size_wait{10'000};
 };
 
