--- a/tests/libraries/warmup/warmup_system.h
+++ b/tests/libraries/warmup/warmup_system.h
@@ -174,7 +174,7 @@
     for (const auto& [n, it] : upstreams)
       out += static_cast<std::size_t>(
           std::count_if(it.openings.begin(), it.openings.end(),
-                        [&](auto at) { return at < it.started + warmup; }));
+                        [end = it.started + warmup](auto at) { return at < end; }));
     return out;
   }
 
