--- a/tests/libraries/platform/operator_api_test.cpp
+++ b/tests/libraries/platform/operator_api_test.cpp
@@ -106,7 +106,7 @@
   BOOST_TEST(read.value().services(0).warmup_rate() == 1.25);
   BOOST_TEST(decode(R"(, "warmupS": 8, "warmupPerS": 3)").value().services(0).warmup_rate() == 3);
   BOOST_TEST(decode("").value().services(0).warmup_rate() == 0);
-  const auto sent = read.value();
+  const auto& sent = read.value();
   const auto again = platform::decode_declaration(platform::encode_declaration(sent));
   BOOST_TEST(again.value().services(0).SerializeAsString() == sent.services(0).SerializeAsString());
   for (const auto* refused :
