tests: the policy learns that a zone does not answer

Cause: with may_take_flows() always true no test failed, because a drawn zone whose upstreams are all suspect is passed over in any case.

--- a/tests/libraries/flow/spillover_selection_test.cpp
+++ b/tests/libraries/flow/spillover_selection_test.cpp
@@ -126,6 +126,8 @@
     if (decision.other_zone != nullptr && is_cut)
       decision = host.handle(now, opening_packet(n, 1), {});
     host.handle(now, ending_packet(n, decision.route_tag), {});
+    const auto& spillover = host.router().selector().spillover();
+    if (n == 900) BOOST_TEST(spillover.shares_of("registry")->count("b") == 0U);
   }
   BOOST_TEST(before > 100);
   BOOST_TEST(after <= 6);
