--- a/include/zinniarelay/control/control_host.h
+++ b/include/zinniarelay/control/control_host.h
@@ -131,6 +131,8 @@
   submission<wire::apply_reply> evacuate(time_point now, std::uint64_t wall_ms,
                                          const wire::evacuation_request& request);
   std::optional<wire::apply_reply> evacuation_reply_for(const ticket& pending) const;
+  /// Returns the reply when the owner stops waiting; the order may still be accepted.
+  wire::apply_reply unconfirmed_evacuation() const;
   /// Returns the evacuations that this host knows to be committed.
   const evacuated_zones& evacuations() const { return evacuations_; }
   /// Returns the zones evacuated and restored since the last call.
--- a/include/zinniarelay/control/warmup_leases.h
+++ b/include/zinniarelay/control/warmup_leases.h
@@ -12,9 +12,9 @@
 namespace zinnia {
 
 /// Exclusive leases of cold upstreams (docs/design.md R44), as the leader of the control group
-/// grants them to control hosts and a control host to entry hosts. Answers the load pattern in
-/// which an upstream that has just started gets flows from all entry hosts at once, and the
-/// failures in which a holder is paused, partitioned or replaced. The holders count their leases
+/// grants them to control hosts and a control host to entry hosts. Exclusive, so
+/// that all entry hosts together keep the rate of an upstream that has just started, also when a
+/// holder is paused, partitioned or replaced. The holders count their leases
 /// from the time at which they sent their requests.
 class warmup_leases {
 public:
--- a/include/zinniarelay/flow/flow_host.h
+++ b/include/zinniarelay/flow/flow_host.h
@@ -101,7 +101,7 @@
 
 private:
   /// Returns true when enough packets wait for tokens already.
-  bool is_waiting_in_vain() const;
+  bool is_token_queue_full() const;
   void apply_declaration(time_point now, const wire::news_reply& reply, update_result& out);
   void apply_change(const wire::flow_declaration_change& change, update_result& out);
 
--- a/include/zinniarelay/flow/flow_router.h
+++ b/include/zinniarelay/flow/flow_router.h
@@ -136,8 +136,8 @@
   std::uint64_t openings_kept_away() const { return selector_.kept_away(); }
   std::uint64_t count_of(flow_decision::reason_type reason) const;
 
-  /// Uses the suspects and the sums of a reply of a control host (docs/design/load-reports.md).
-  /// Ignored when this host sends no load reports.
+  /// Uses the suspects, only when this host sends load reports, and the sums of a control host's
+  /// reply (docs/design/load-reports.md).
   void apply_loads(time_point now, const wire::news_reply& reply);
   /// Returns the load report to send to the control hosts now; no value when none is due.
   std::optional<wire::flow_load> take_due_load(time_point now);
--- a/include/zinniarelay/flow/flow_table.h
+++ b/include/zinniarelay/flow/flow_table.h
@@ -19,7 +19,7 @@
     time_point opened;
     time_point last_packet;
     std::uint32_t opening_copies = 0;    ///< repetitions of the opening packet so far
-    std::uint32_t unanswered_copies = 0; ///< the last copy that was recorded as a timeout
+    std::uint32_t last_timeout_copy = 0; ///< the last copy that was recorded as a timeout
     bool is_answered = false;            ///< the caller has received a packet of the upstream
     bool is_closed = false;              ///< kept for packets that arrive after the end of the flow
   };
--- a/include/zinniarelay/flow/upstream_selector.h
+++ b/include/zinniarelay/flow/upstream_selector.h
@@ -5,14 +5,15 @@
 #include "zinniarelay/core/time.h"
 #include "zinniarelay/flow/evacuated_zones.h"
 #include "zinniarelay/flow/flow_table.h"
+#include "zinniarelay/flow/shared_suspects.h"
 #include "zinniarelay/flow/spillover_policy.h"
 #include "zinniarelay/flow/upstream_choice.h"
 #include "zinniarelay/flow/upstream_directory.h"
 #include "zinniarelay/flow/warmup_tokens.h"
 #include "zinniarelay/flow/zone_delays.h"
 #include "zinniarelay/flow/zone_health.h"
+#include "zinniarelay/flow/zone_loads.h"
 
-#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,7 +44,8 @@
 public:
   upstream_selector(upstream_selector_settings settings, random_engine engine)
       : settings_(std::move(settings)), engine_(engine),
-        spillover_({settings_.zone, settings_.cross_zone_price}) {}
+        spillover_({settings_.zone, settings_.cross_zone_price}),
+        shared_suspects_(settings_.suspect_period, engine) {}
 
   /// What the load of the upstreams is computed from.
   struct view {
@@ -107,9 +109,13 @@
   void set_suspects(time_point now, const upstream_directory& upstreams,
                     const wire::suspect_upstreams& suspects);
   /// Stores the sums of a reply. Those of earlier replies stay until they are 3 s old.
-  void set_zone_loads(time_point now, std::vector<wire::zone_load> loads);
+  void set_zone_loads(time_point now, std::vector<wire::zone_load> loads) {
+    zone_loads_.merge(now, std::move(loads));
+  }
   /// Returns the sums that are not older than 3 s, with their present ages.
-  std::vector<wire::zone_load> zone_loads(time_point now) const;
+  std::vector<wire::zone_load> current_zone_loads(time_point now) const {
+    return zone_loads_.current(now);
+  }
 
   /// Health of one upstream, as observed from the packets of callers.
   struct health_observation {
@@ -126,23 +132,12 @@
   time_point last_notable_event() const { return last_notable_event_; }
   /// Returns the number of upstreams that count as suspect because of other hosts, including those
   /// that return gradually.
-  std::size_t shared_suspects() const { return shared_suspects_.size(); }
+  std::size_t shared_suspect_count() const { return shared_suspects_.size(); }
 
   /// Removes the observations of upstreams that the directory no longer contains.
   void remove_expired(const upstream_directory& upstreams);
 
 private:
-  /// An upstream that other hosts found to be unresponsive.
-  struct shared_suspect {
-    time_point observed;      ///< last observation
-    time_point avoided_until; ///< no opening packet is sent to it before
-    time_point probed_until;  ///< an opening packet may still be answered until then
-  };
-  /// A sum of the load reports of all entry hosts.
-  struct stored_zone_load {
-    wire::zone_load load;
-    time_point measured; ///< when the oldest report of the sum was received
-  };
   /// The ready upstreams of a service, by incarnation.
   struct ready_upstreams {
     std::vector<std::uint64_t> local; ///< in the zone of this host
@@ -173,11 +168,6 @@
                                                    const ready_upstreams& listed);
   spillover_policy::zone_capacities capacities_of(time_point now, const view& known,
                                                   const ready_upstreams& listed) const;
-  bool is_shared_suspect(time_point now, std::uint64_t upstream) const;
-  /// Records the selection of an upstream that returns gradually.
-  void record_probe(time_point now, std::uint64_t upstream);
-  /// Keeps the latest suspects of each service and zone, at most half of its upstreams.
-  void limit_shared_suspects(const upstream_directory& upstreams);
 
   upstream_selector_settings settings_;
   random_engine engine_;
@@ -194,9 +184,8 @@
   zone_delays zone_delays_;
   time_point next_spillover_update_;
   std::vector<spillover_policy::change> spillover_changes_;
-  std::unordered_map<std::uint64_t, shared_suspect> shared_suspects_; ///< by incarnation
-  /// By service, zone of the callers and zone of the upstreams.
-  std::map<std::array<std::string, 3>, stored_zone_load> zone_loads_;
+  shared_suspects shared_suspects_;
+  zone_loads zone_loads_;
   time_point last_notable_event_;
 };
 
--- a/libraries/config/flow_settings.cpp
+++ b/libraries/config/flow_settings.cpp
@@ -48,6 +48,9 @@
   if (out.has_load_reports_ && !out.notice_address_)
     sink.report(map.place("load_reports"), "load_reports is on without notice_address",
                 "notice_address, from which the reports are sent");
+  if (out.has_adaptive_spillover_ && !out.has_load_reports_)
+    sink.report(map.place("zone_spillover"), "zone_spillover is adaptive without load_reports",
+                "load_reports: on, which provides the figures");
   map.report_unknown_keys();
 
   address_registry addresses(sink);
--- a/libraries/control/control_host_flows.cpp
+++ b/libraries/control/control_host_flows.cpp
@@ -29,8 +29,8 @@
 // As much as a page of upstreams. Without an account, entry hosts do not distinguish upstreams by
 // their reports.
 constexpr std::size_t max_overdue = 1'000;
-// An account of all upstreams costs as much as they are many. Its age is a small part of the time
-// after which an upstream is overdue.
+// An account is built by a visit of every upstream, so that it is reused. Its age is small compared
+// with the time after which an upstream is overdue.
 constexpr milliseconds liveness_lifetime{200};
 
 std::string digest_text(const std::string& content) {
@@ -279,7 +279,7 @@
 }
 
 // A refresh for each report of each upstream would grow with the product of upstreams and entry
-// hosts (docs/design.md R43). The replies of a tick share one account.
+// hosts (docs/design.md R43). All replies within liveness_lifetime share one account.
 void control_host::add_liveness(time_point now, const wire::news_request& request,
                                 wire::news_reply& reply) {
   const milliseconds overdue_after(request.overdue_after_ms());
--- a/libraries/control/control_host_zones.cpp
+++ b/libraries/control/control_host_zones.cpp
@@ -9,9 +9,9 @@
 namespace zinnia {
 namespace {
 
-// Bounds what a snapshot and a reply to an entry host contain.
+// Bounds one name in the log, the snapshot and the replies to entry hosts.
 constexpr std::size_t max_zone_bytes = 64;
-// A tick is due every 20 ms.
+// Ticks are due every 20 ms. After a gap this long the process was suspended, not only busy.
 constexpr milliseconds min_suspension{1'000};
 // Requests that arrived during a suspension of the process are handled within this time after it.
 constexpr milliseconds backlog_time{1'000};
@@ -45,15 +45,29 @@
   if (is_known_zone(request.order().zone()))
     *command.mutable_evacuation() = request.order();
   else
-    command.set_refused(std::string(request.order().active() ? "evacuate" : "restore") + ": zone " +
-                        request.order().zone().substr(0, max_zone_bytes) +
-                        " is not known: it is not in the setting zones and has no upstream");
-  return propose(now, wall_ms, std::move(command));
+    command.set_refused(
+        std::string(request.order().active() ? "evacuate" : "restore") + ": zone " +
+        request.order().zone().substr(0, max_zone_bytes) +
+        (request.order().zone().size() > max_zone_bytes
+             ? "...: the name is too long"
+             : " is not known: it is not in the setting zones and has no upstream"));
+  auto out = propose(now, wall_ms, std::move(command));
+  if (out.reply) out.reply->set_revision(evacuations_.version());
+  return out;
 }
 
-// The only place that decides when an order is acknowledged.
+// As for all operations: committed, applied, and stored by enough voters (R48).
 std::optional<wire::apply_reply> control_host::evacuation_reply_for(const ticket& pending) const {
-  return drain_reply_for(pending);
+  auto out = drain_reply_for(pending);
+  if (out && out->result() != wire::apply_reply::accepted)
+    out->set_revision(evacuations_.version());
+  return out;
+}
+
+wire::apply_reply control_host::unconfirmed_evacuation() const {
+  auto out = unconfirmed_apply();
+  out.set_revision(evacuations_.version());
+  return out;
 }
 
 // A zone that was evacuated can be restored after its last upstream has left.
--- a/libraries/control/group_identity.cpp
+++ b/libraries/control/group_identity.cpp
@@ -6,8 +6,7 @@
 namespace zinnia {
 namespace {
 
-// A bootstrap that was interrupted continues with its founders, also when the settings no longer
-// say that this is the first start: without this host they could be too few for a quorum.
+// Returns the founders in the snapshot of an interrupted bootstrap; empty if there is none.
 std::vector<endpoint> interrupted_founders(const stored_state& stored) {
   std::vector<endpoint> out;
   if (!stored.snapshot) return out;
@@ -34,8 +33,11 @@
     return success();
   }
   ZINNIA_TRY(address, endpoint::parse(settings.self.address()));
+  // A bootstrap that was interrupted continues with its founders, whatever the settings say by now:
+  // without this host they could be too few for a quorum (R49).
+  auto founders = interrupted_founders(stored);
+  if (founders.empty() && is_first_start) founders = seeds;
   // An even number of voters tolerates no more losses than one voter fewer.
-  auto founders = is_first_start ? seeds : interrupted_founders(stored);
   std::sort(founders.begin(), founders.end());
   if (!founders.empty() && founders.size() % 2 == 0) founders.pop_back();
   if (std::find(founders.begin(), founders.end(), address) == founders.end()) {
--- a/libraries/control/group_size_policy.cpp
+++ b/libraries/control/group_size_policy.cpp
@@ -1,6 +1,7 @@
 #include "zinniarelay/control/group_size_policy.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace zinnia {
 namespace {
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t max_waiting_without_lease = 32;
 // The ages in a reply count from when it was sent, which may be as early as its request.
 constexpr milliseconds max_load_age{3'000};
-// Held packets may be for other services than the one with a token, and wait for longer.
+// Each release decides all held packets again, also those for services without a token. Limits this
+// work to 50 times a second.
 constexpr milliseconds min_release_interval{20};
 
 } // namespace
@@ -43,13 +44,13 @@
   last_packet_ = std::max(last_packet_, now);
   auto out = router_.route(now, head);
   if (out.action == flow_decision::action_type::hold &&
-      out.reason == flow_decision::reason_type::cold && is_waiting_in_vain())
+      out.reason == flow_decision::reason_type::cold && is_token_queue_full())
     out.action = flow_decision::action_type::reset;
   if (out.action == flow_decision::action_type::hold) held_.add(now, head, bytes);
   return out;
 }
 
-bool flow_host::is_waiting_in_vain() const {
+bool flow_host::is_token_queue_full() const {
   const auto rate = router_.selector().tokens().granted_rate();
   if (rate <= 0) return held_.size() >= max_waiting_without_lease;
   return static_cast<double>(held_.size()) >= 1 + rate * max_token_wait_s;
@@ -69,7 +70,7 @@
                                           time_point requested) {
   update_result out;
   // Before the upstreams of the reply become known: no flow may be opened at one of an evacuated
-  // zone. Control hosts send only committed evacuations, so the trust of the reply does not matter.
+  // zone. Evacuations that are not known to be committed apply until confirm().
   out.zones = router_.apply(now, reply.evacuations());
   if (reply.from_position() == 0) router_.begin_list(reply.source());
   router_.merge_update(now, reply.upstreams(),
--- a/libraries/flow/flow_router.cpp
+++ b/libraries/flow/flow_router.cpp
@@ -94,11 +94,10 @@
         return decision_of(action::drop, reason::cold);
       return forward(*current, reason::reopened);
     }
-    // The caller sent another copy because it got no answer: the upstream is full,
-    // unreachable or has crashed.
-    // A held copy is decided several times.
-    if (head.acknowledged > std::max(existing->opening_copies, existing->unanswered_copies)) {
-      existing->unanswered_copies = head.acknowledged;
+    // The caller sent another copy because it got no answer: the upstream is full, unreachable or
+    // has crashed. A copy that is held is decided several times, but counts as one timeout.
+    if (head.acknowledged > std::max(existing->opening_copies, existing->last_timeout_copy)) {
+      existing->last_timeout_copy = head.acknowledged;
       selector_.record_timeout(now, upstreams_, existing->upstream, existing->opened);
     }
     excluded = existing->upstream;
--- a/libraries/flow/load_summary.cpp
+++ b/libraries/flow/load_summary.cpp
@@ -37,6 +37,8 @@
 constexpr double max_suspects_bytes = 350;
 constexpr std::size_t max_new_suspects = 1'000;
 constexpr std::size_t max_listed_loads = 64;
+// Sums that an entry host does not get again within max_age are lost to it, so that a full cycle of
+// replies takes less than that for the listed sums of a few services.
 constexpr std::size_t max_loads_bytes = 450;
 constexpr milliseconds loads_interval{500};
 constexpr milliseconds ranking_lifetime{100};
@@ -273,6 +275,11 @@
   if (ranked_at_ && now - *ranked_at_ < ranking_lifetime) return ranked_;
   ranked_ = loads(now);
   if (ranked_.size() > max_listed_loads) ranked_.resize(max_listed_loads);
+  // Replies continue at a position, so that the order must not follow the load.
+  std::sort(ranked_.begin(), ranked_.end(), [](const auto& a, const auto& b) {
+    return std::tuple(a.service(), a.caller_zone(), a.upstream_zone()) <
+           std::tuple(b.service(), b.caller_zone(), b.upstream_zone());
+  });
   ranked_at_ = now;
   return ranked_;
 }
--- a/libraries/flow/spillover_policy.cpp
+++ b/libraries/flow/spillover_policy.cpp
@@ -36,6 +36,8 @@
 // A flow to another zone crosses it with its opening and again with its request.
 constexpr double exchanges_per_flow = 2;
 constexpr double max_wait_in_services = 100;
+// Utilization of a zone with demand and without slots; above all limits.
+constexpr double no_capacity_utilization = 100;
 constexpr int bisection_steps = 40;
 
 // The wait model: upstreams with two slots each that get flows at random (M/M/2). Entry hosts do
@@ -156,7 +158,7 @@
     const auto measured = state.service_ms.find(name);
     zone.service_ms = measured == state.service_ms.end() ? mean : measured->second;
     zone.utilization = zone.slots > 0          ? zone.demand_per_s / capacity_per_s(zone)
-                       : zone.demand_per_s > 0 ? max_wait_in_services
+                       : zone.demand_per_s > 0 ? no_capacity_utilization
                                                : 0;
     if (name == settings_.zone || capacity == capacities.end()) continue;
     zone.cost_ms = exchanges_per_flow * capacity->second.delay_ms.value_or(unmeasured_delay_ms) +
--- a/libraries/flow/upstream_directory.cpp
+++ b/libraries/flow/upstream_directory.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Reports of one warm-up arrive with delays that differ. A report that extends it by more is a
-// change of content, and a warm-up counts for so much longer, because hosts may not know of a
-// shorter extension.
+// Tolerance for the differing delays of the reports of one warm-up. Only a longer extension is a
+// change of content. An upstream counts as cold for this much longer, because other hosts may not
+// know of a shorter extension.
 constexpr milliseconds warmup_tolerance{250};
 // The clocks of an upstream and of the host that gets its first report differ by up to this much.
 constexpr milliseconds max_clock_difference{2'000};
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -21,20 +21,6 @@
 constexpr milliseconds spillover_interval{500};
 // A false report of many slots must not attract the flows of other zones.
 constexpr std::uint32_t max_counted_slots = 64;
-// Observations of other hosts that are older are not used. Equal to load_summary's.
-constexpr milliseconds max_shared_age{3'000};
-// The estimate of an observation's time varies with the delay of the replies. A smaller difference
-// is the same observation.
-constexpr milliseconds observation_tolerance{50};
-// After its suspect period an upstream gets the first opening packets of the hosts spread over this
-// time, so that the first one that stays unanswered is reported before most hosts have sent theirs:
-// with 59 hosts, 9 callers in 3 s reach a dead upstream instead of 15 when the hosts return within
-// the suspect period.
-constexpr milliseconds max_return_delay{1'000};
-// A caller gives up an opening that is not answered within 1.4 s.
-constexpr milliseconds probe_timeout{1'500};
-constexpr std::size_t max_zone_loads = 4'096;
-
 } // namespace
 
 // Compares a bounded number of upstreams, because a service may have thousands. Most of them have
@@ -51,7 +37,7 @@
   const auto candidates = candidates_for(now, known, service, listed->second, excluded);
   const auto chosen = choose_upstream(candidates, settings_.choice, engine_);
   const auto* out = chosen ? known.upstreams.find(*chosen) : nullptr;
-  if (out != nullptr) record_probe(now, out->incarnation);
+  if (out != nullptr) shared_suspects_.record_opening(now, out->incarnation);
   if (out != nullptr && needs_token(known, *out)) tokens_.take(out->incarnation);
   return out;
 }
@@ -109,12 +95,18 @@
 void upstream_selector::update_spillover(time_point now, const view& known) {
   if (settings_.spillover == zone_spillover::off || now < next_spillover_update_) return;
   next_spillover_update_ = now + spillover_interval;
-  const auto loads = zone_loads(now);
+  const auto loads = zone_loads_.current(now);
   for (const auto& [service, listed] : ready_upstreams_) {
     auto change =
         spillover_.update(service, loads, capacities_of(now, known, listed), milliseconds(0));
     if (change) spillover_changes_.push_back(std::move(*change));
   }
+  // A service without ready upstreams has no shares.
+  for (const auto& [service, shares] : spillover_.shares()) {
+    if (ready_upstreams_.contains(service)) continue;
+    auto change = spillover_.update(service, {}, {}, milliseconds(0));
+    if (change) spillover_changes_.push_back(std::move(*change));
+  }
 }
 
 // An upstream that left opening packets unanswered counts: full ones do so, and a zone would seem
@@ -208,7 +200,7 @@
                                    const upstream_directory::entry& upstream) const {
   if (upstream.report.zone != settings_.zone && zone_health_.is_suspect(now, upstream.report.zone))
     return true;
-  if (is_shared_suspect(now, upstream.incarnation)) return true;
+  if (shared_suspects_.is_suspect(now, upstream.incarnation)) return true;
   if (is_overdue(now, upstream)) return true;
   const auto it = health_observations_.find(upstream.incarnation);
   return it != health_observations_.end() && it->second.timeouts >= suspect_after_timeouts &&
@@ -235,7 +227,7 @@
   auto& observation = health_observations_[upstream.incarnation];
   observation.last_answer = now;
   observation.timeouts = 0;
-  if (shared_suspects_.erase(upstream.incarnation) > 0) last_notable_event_ = now;
+  if (shared_suspects_.record_answer(upstream.incarnation)) last_notable_event_ = now;
 }
 
 void upstream_selector::record_timeout(time_point now, const upstream_directory& upstreams,
@@ -260,90 +252,14 @@
   zone_health_.record_contact(zone, contact);
 }
 
-// An upstream that is no longer listed has answered another host. It still returns gradually,
-// because a control host that has just started lists none.
 void upstream_selector::set_suspects(time_point now, const upstream_directory& upstreams,
                                      const wire::suspect_upstreams& suspects) {
-  std::unordered_map<std::uint64_t, time_point> listed;
-  for (const auto& it : suspects.upstreams()) {
-    const milliseconds age(it.age_ms());
-    if (age < settings_.suspect_period) listed[it.incarnation()] = now - age;
-  }
-  for (auto& [incarnation, suspect] : shared_suspects_)
-    if (!listed.contains(incarnation)) suspect.avoided_until = std::min(suspect.avoided_until, now);
-  std::uniform_int_distribution<milliseconds::rep> delay(0, max_return_delay.count());
-  for (const auto& [incarnation, observed] : listed) {
-    if (upstreams.find(incarnation) == nullptr) continue;
-    const auto own = health_observations_.find(incarnation);
-    if (own != health_observations_.end() && own->second.last_answer >= observed) {
-      // The other hosts learn of this answer with the next report.
-      last_notable_event_ = std::max(last_notable_event_, own->second.last_answer);
-      continue;
-    }
-    const auto [it, is_new] = shared_suspects_.try_emplace(incarnation);
-    auto& suspect = it->second;
-    if (!is_new && observed <= suspect.observed + observation_tolerance) continue;
-    suspect.observed = observed;
-    suspect.avoided_until = observed + settings_.suspect_period + milliseconds(delay(engine_));
-  }
-  limit_shared_suspects(upstreams);
-}
-
-bool upstream_selector::is_shared_suspect(time_point now, std::uint64_t upstream) const {
-  const auto it = shared_suspects_.find(upstream);
-  return it != shared_suspects_.end() &&
-         (now < it->second.avoided_until || now < it->second.probed_until);
-}
-
-void upstream_selector::record_probe(time_point now, std::uint64_t upstream) {
-  if (const auto it = shared_suspects_.find(upstream); it != shared_suspects_.end())
-    it->second.probed_until = now + probe_timeout;
-}
-
-// A wrong view of the other hosts must not take the capacity of a service away.
-void upstream_selector::limit_shared_suspects(const upstream_directory& upstreams) {
-  if (shared_suspects_.empty()) return;
-  struct group {
-    std::size_t ready = 0;
-    std::vector<std::pair<time_point, std::uint64_t>> suspects;
+  const auto last_answer = [&](std::uint64_t incarnation) {
+    const auto it = health_observations_.find(incarnation);
+    return it == health_observations_.end() ? time_point{} : it->second.last_answer;
   };
-  std::map<std::pair<std::string, std::string>, group> groups;
-  for (const auto& [incarnation, suspect] : shared_suspects_)
-    if (const auto* upstream = upstreams.find(incarnation); upstream != nullptr)
-      groups[{upstream->report.service, upstream->report.zone}].suspects.emplace_back(
-          suspect.observed, incarnation);
-  upstreams.for_each([&](const auto& it) {
-    if (it.report.condition != upstream_report::state::ready) return;
-    const auto found = groups.find({it.report.service, it.report.zone});
-    if (found != groups.end()) ++found->second.ready;
-  });
-  for (auto& [key, it] : groups) {
-    std::sort(it.suspects.rbegin(), it.suspects.rend());
-    for (std::size_t n = it.ready / 2; n < it.suspects.size(); ++n)
-      shared_suspects_.erase(it.suspects[n].second);
-  }
-}
-
-void upstream_selector::set_zone_loads(time_point now, std::vector<wire::zone_load> loads) {
-  std::erase_if(zone_loads_,
-                [&](const auto& it) { return now - it.second.measured > max_shared_age; });
-  for (auto& it : loads) {
-    const milliseconds age(it.age_ms());
-    if (age > max_shared_age || zone_loads_.size() >= max_zone_loads) continue;
-    const std::array key{it.service(), it.caller_zone(), it.upstream_zone()};
-    zone_loads_[key] = {std::move(it), now - age};
-  }
-}
-
-std::vector<wire::zone_load> upstream_selector::zone_loads(time_point now) const {
-  std::vector<wire::zone_load> out;
-  for (const auto& [key, it] : zone_loads_) {
-    const auto age = std::chrono::duration_cast<milliseconds>(now - it.measured);
-    if (age > max_shared_age) continue;
-    out.push_back(it.load);
-    out.back().set_age_ms(static_cast<std::uint32_t>(std::max(age, milliseconds(0)).count()));
-  }
-  return out;
+  const auto own_answer = shared_suspects_.set(now, upstreams, suspects, last_answer);
+  last_notable_event_ = std::max(last_notable_event_, own_answer);
 }
 
 void upstream_selector::index_services(const upstream_directory& upstreams,
@@ -361,14 +277,13 @@
     list.push_back(it.incarnation);
     if (!is_local) listed.by_zone[it.report.zone].push_back(it.incarnation);
   });
-  limit_shared_suspects(upstreams);
+  shared_suspects_.limit(upstreams);
 }
 
 void upstream_selector::remove_expired(const upstream_directory& upstreams) {
   for (auto it = health_observations_.begin(); it != health_observations_.end();)
     it = upstreams.find(it->first) == nullptr ? health_observations_.erase(it) : std::next(it);
-  std::erase_if(shared_suspects_,
-                [&](const auto& it) { return upstreams.find(it.first) == nullptr; });
+  shared_suspects_.remove_expired(upstreams);
 }
 
 } // namespace zinnia
--- a/libraries/replication/log_store.cpp
+++ b/libraries/replication/log_store.cpp
@@ -65,8 +65,8 @@
   ZINNIA_TRY(log, files_->read(log_file));
   std::string_view content;
   if (log) content = *log;
-  // The identity is the last file that a bootstrap writes, and nothing was promised before it. A
-  // folder that has taken part in a group has entries or a snapshot of some.
+  // A bootstrap writes the identity last, and the host sends no message before that. A folder that
+  // has taken part in a group has entries or a snapshot of some.
   const bool has_taken_part = !content.empty() || (out.snapshot && out.snapshot->last_index() > 0);
   if (!out.identity && has_taken_part)
     return corrupted(identity_file, 0, "is missing although the folder has a log");
--- a/services/controld/flow_control_service.cpp
+++ b/services/controld/flow_control_service.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds join_timeout{400};
 constexpr milliseconds join_interval{300};
 constexpr milliseconds replicator_refresh_interval{200};
+// A failed zone makes many upstreams suspect at once.
 constexpr std::uint32_t suspect_lines_per_second = 10;
 
 } // namespace
--- a/services/controld/flow_control_zones.cpp
+++ b/services/controld/flow_control_zones.cpp
@@ -22,7 +22,7 @@
   if (reply.result() == wire::apply_reply::invalid) return {outcome::not_found, reply.cause()};
   if (reply.result() == wire::apply_reply::stale_base)
     return {outcome::unconfirmed, reply.cause() + "; repeat the order if it is still wanted"};
-  return {outcome::unconfirmed, "no quorum has confirmed the order in time"};
+  return {outcome::unconfirmed, reply.cause()};
 }
 
 } // namespace
@@ -49,7 +49,7 @@
   const bool is_forwarded = request.order().has_base_version();
   std::unique_lock lock(shared_.mutex);
   if (!shared_.host.receive_evacuation(monotonic_now(), request))
-    return shared_.host.unconfirmed_apply();
+    return shared_.host.unconfirmed_evacuation();
   // All attempts have one identifier, so that the order takes effect once.
   if (request.operation_id().empty())
     request.set_operation_id("zone " + std::to_string(shared_.host.source()) + " " +
@@ -63,7 +63,7 @@
         out = shared_.host.evacuation_reply_for(submitted.pending);
         return out.has_value() || is_stopping_;
       });
-      return out ? *out : shared_.host.unconfirmed_apply();
+      return out ? *out : shared_.host.unconfirmed_evacuation();
     }
     if (submitted.reply->result() != wire::apply_reply::not_leader || is_forwarded)
       return *submitted.reply;
@@ -82,7 +82,7 @@
     }
     shared_.changed.wait_for(lock, leader_check_interval, [this] { return is_stopping_; });
   }
-  return shared_.host.unconfirmed_apply();
+  return shared_.host.unconfirmed_evacuation();
 }
 
 std::optional<wire::apply_reply>
--- a/services/controld/main.cpp
+++ b/services/controld/main.cpp
@@ -103,9 +103,10 @@
   server.set_seeds(seeds);
 }
 
-// Entry hosts ask for notices by datagrams, and get them when this host starts.
-void exchange_notices(notice_socket& socket, controld::control_server& server,
-                      const std::string& address) {
+// Handles the datagrams of entry hosts (requests for notices, load reports), and sends the notices
+// of this start.
+void exchange_datagrams(notice_socket& socket, controld::control_server& server,
+                        const std::string& address) {
   while (const auto received = socket.receive()) {
     if (received->notice.kind() == wire::host_notice::entry_host_present)
       server.record_presence(received->sender);
@@ -122,7 +123,8 @@
 
 int serve(const std::filesystem::path& settings_file, const control_settings& settings,
           const control_host_settings& host_settings, storage& files) {
-  // The signals are blocked in all threads, so only the loop below receives them.
+  // block_daemon_signals() has blocked them before any thread started, so only the loop below
+  // receives them.
   const auto signals = daemon_signals();
   // With SIGXFSZ ignored, a write beyond the limit on file sizes fails with an error and does not
   // end the process.
@@ -147,7 +149,7 @@
     signal = sigtimedwait(&signals, nullptr, &interval);
     if (watch.has_changed(monotonic_now(), signal == SIGHUP))
       reload(settings_file, *server.value());
-    exchange_notices(*notices.value(), *server.value(), address);
+    exchange_datagrams(*notices.value(), *server.value(), address);
     if (const auto fault = server.value()->tick()) return report(*fault);
   }
   log_info("control_host_stopping");
--- a/services/flowd/flow_daemon.cpp
+++ b/services/flowd/flow_daemon.cpp
@@ -292,7 +292,7 @@
       .with("open_flows", host_.router().flows().size())
       .with("evacuations_version", host_.evacuations_version());
   if (settings_.has_load_reports())
-    line.with("shared_suspects", host_.router().selector().shared_suspects());
+    line.with("shared_suspects", host_.router().selector().shared_suspect_count());
 }
 
 void flow_daemon::publish(time_point now) {
@@ -335,9 +335,9 @@
   const auto& selector = host_.router().selector();
   metrics_.gauge_of("load_reports_sent").set(static_cast<double>(loads_sent_));
   metrics_.gauge_of("load_report_bytes_sent").set(static_cast<double>(load_bytes_sent_));
-  metrics_.gauge_of("shared_suspects").set(static_cast<double>(selector.shared_suspects()));
+  metrics_.gauge_of("shared_suspects").set(static_cast<double>(selector.shared_suspect_count()));
   metrics_.gauge_of("zone_loads")
-      .set(static_cast<double>(selector.zone_loads(monotonic_now()).size()));
+      .set(static_cast<double>(selector.current_zone_loads(monotonic_now()).size()));
 }
 
 } // namespace zinnia::flowd
--- a/services/flowd/update_client.h
+++ b/services/flowd/update_client.h
@@ -27,7 +27,7 @@
     std::string host;
     std::uint32_t zone = 0;
     milliseconds report_timeout; ///< an upstream without a report for longer is overdue
-    bool accepts_loads = false;  ///< replies may contain load reports of all entry hosts
+    bool accepts_loads = false;  ///< replies may contain the suspects and sums of load
   };
 
   /// The engine orders the seeds and varies the pauses, so that entry hosts which start at the
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -134,22 +134,25 @@
     BOOST_TEST(!stop_grace_of(it).has_value(), it);
 }
 
-// Guards against a mistyped value that silently leaves spillover off, and against a price without a
-// unit that is taken for another one.
+// Guards against a mistyped value or missing load reports that silently leave spillover off, and
+// against a price without a unit that is taken for another one.
 BOOST_AUTO_TEST_CASE(reads_settings_of_cross_zone_spillover) {
   const auto settings_with = [&](const std::string& lines) {
     return load<flow_settings>("name: entry-1\nzone_name: a\npacket_address: 127.0.0.1:7001\n"
                                "ready_address: 127.0.0.1:7002\n"
-                               "control_hosts: [\"127.0.0.1:9001\"]\n" +
+                               "control_hosts: [\"127.0.0.1:9001\"]\n"
+                               "notice_address: 127.0.0.1:7003\n" +
                                lines);
   };
   BOOST_TEST(!settings_with("").value().has_adaptive_spillover());
   BOOST_TEST(!settings_with("zone_spillover: off\n").value().has_adaptive_spillover());
-  const auto adaptive = settings_with("zone_spillover: adaptive\ncross_zone_price: 25 ms\n");
+  const auto adaptive =
+      settings_with("load_reports: on\nzone_spillover: adaptive\ncross_zone_price: 25 ms\n");
   BOOST_TEST(adaptive.value().has_adaptive_spillover());
   BOOST_TEST((adaptive.value().cross_zone_price() == milliseconds(25)));
-  for (const auto* it : {"zone_spillover: on\n", "zone_spillover: adaptve\n",
-                         "cross_zone_price: 25\n", "cross_zone_price: 13 s\n"})
+  for (const auto* it : {"zone_spillover: adaptive\n", "load_reports: on\nzone_spillover: on\n",
+                         "load_reports: on\nzone_spillover: adaptve\n", "cross_zone_price: 25\n",
+                         "cross_zone_price: 13 s\n"})
     BOOST_TEST(!settings_with(it).has_value(), it);
 }
 
--- a/tests/libraries/flow/shared_suspects_test.cpp
+++ b/tests/libraries/flow/shared_suspects_test.cpp
@@ -167,7 +167,7 @@
   delayed.add_loads()->set_service("registry");
   with.host.apply(at(5'000), delayed, at(1'999));
   without.host.apply(at(5'000), delayed, at(1'999));
-  BOOST_TEST(with.host.router().selector().zone_loads(at(5'000)).empty());
+  BOOST_TEST(with.host.router().selector().current_zone_loads(at(5'000)).empty());
   BOOST_TEST((with.used(at(5'000)) == without.used(at(5'000))));
 }
 
@@ -193,8 +193,8 @@
   load.set_age_ms(500);
   self.host.apply(at(1'000), reply, at(1'000));
   self.host.apply(at(1'500), reply_with({}, 0), at(1'500));
-  BOOST_TEST(self.host.router().selector().zone_loads(at(3'500)).size() == 1U);
-  BOOST_TEST(self.host.router().selector().zone_loads(at(3'501)).empty());
+  BOOST_TEST(self.host.router().selector().current_zone_loads(at(3'500)).size() == 1U);
+  BOOST_TEST(self.host.router().selector().current_zone_loads(at(3'501)).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
