flow, tests: one copy of what load reports, joining hosts and declarations in tests share

The limits and the lifetime of load reports stood in the reporter, the summary, the stored sums and the facade; if the reporter's and the summary's differed, every report would be malformed. The age of an observation was computed three times. spillover_policy::update() had a parameter that every caller set to 0, since ages are brought up to date before. Two test fixtures had the same loop in which hosts join, and warmup_system built the declaration of flow_fixture once more.

Change: load_report.h has format, limits, lifetime and age; the parameter is gone, and its test states the later age in the figures; control_group runs hosts that join; warmup_system uses declaration_of(). Three comments say what happens in place of a figure of speech. No behaviour changes.

--- a/include/zinniarelay/control/group_size_policy.h
+++ b/include/zinniarelay/control/group_size_policy.h
@@ -23,7 +23,7 @@
   std::optional<std::string> tick(time_point now, const raft_node& node);
 
   /// Returns true when the committed group has its full size, or when this host is the leader and
-  /// has waited for the full size in vain.
+  /// its wait for the full size has ended without it.
   bool permits_acknowledgement(const raft_node& node) const;
 
   /// Returns how many further voters the group can lose before it has no quorum; leader only.
--- a/include/zinniarelay/control/warmup_leases.h
+++ b/include/zinniarelay/control/warmup_leases.h
@@ -5,17 +5,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
 namespace zinnia {
 
-/// Exclusive leases of cold upstreams (docs/design.md R44), as the leader of the control group
-/// grants them to control hosts and a control host to entry hosts. Exclusive, so
-/// that all entry hosts together keep the rate of an upstream that has just started, also when a
-/// holder is paused, partitioned or replaced. The holders count their leases
-/// from the time at which they sent their requests.
+/// Leases of cold upstreams (docs/design.md R44), as the leader of the control group grants them to
+/// control hosts and a control host to entry hosts. They are exclusive, so that all entry hosts
+/// together keep the rate of an upstream that has just started, also when a holder is paused,
+/// partitioned or replaced. The holders count their leases from the time at which they sent their
+/// requests.
 class warmup_leases {
 public:
   /// Records that a holder asks for leases.
--- a/include/zinniarelay/flow/load_summary.h
+++ b/include/zinniarelay/flow/load_summary.h
@@ -3,6 +3,7 @@
 #include "flow.pb.h"
 #include "zinniarelay/core/endpoint.h"
 #include "zinniarelay/core/time.h"
+#include "zinniarelay/flow/load_report.h"
 
 #include <array>
 #include <cstdint>
@@ -15,9 +16,6 @@
 
 namespace zinnia {
 
-/// The number in flow_load.format of the reports that this release sends and accepts.
-inline constexpr std::uint32_t load_report_format = 1;
-
 /// The load reports of all entry hosts on a control host, and their combined view of the upstreams
 /// (docs/design/load-reports.md). Answers the failure in which an upstream stops answering and each
 /// of many entry hosts would find it out with flows of its own callers. Not thread-safe.
--- a/include/zinniarelay/flow/spillover_policy.h
+++ b/include/zinniarelay/flow/spillover_policy.h
@@ -49,12 +49,11 @@
 
   explicit spillover_policy(spillover_settings settings) : settings_(std::move(settings)) {}
 
-  /// Moves the shares of a service towards those that its sums call for. `elapsed` is the time
-  /// since the sums arrived. Without recent figures of this zone, the service has no shares
-  /// afterwards.
+  /// Moves the shares of a service towards those that its sums call for, whose ages are the
+  /// present ones. Without recent figures of this zone, the service has no shares afterwards.
   std::optional<change> update(const std::string& service,
                                const std::vector<wire::zone_load>& loads,
-                               const zone_capacities& capacities, milliseconds elapsed);
+                               const zone_capacities& capacities);
 
   /// Returns the shares of the new flows that go to other zones; null without recent figures.
   const zone_shares* shares_of(const std::string& service) const;
--- a/libraries/flow/flow_host.cpp
+++ b/libraries/flow/flow_host.cpp
@@ -1,5 +1,7 @@
 #include "zinniarelay/flow/flow_host.h"
 
+#include "zinniarelay/flow/load_report.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -14,8 +16,6 @@
 // which a packet is held, or this many without a lease.
 constexpr double max_token_wait_s = 0.8;
 constexpr std::size_t max_waiting_without_lease = 32;
-// The ages in a reply count from when it was sent, which may be as early as its request.
-constexpr milliseconds max_load_age{3'000};
 // Each release decides all held packets again, also those for services without a token. Limits this
 // work to 50 times a second.
 constexpr milliseconds min_release_interval{20};
@@ -81,7 +81,8 @@
   router_.record_origin(now, reply);
   router_.record_grants(requested, reply);
   if (trust_of(reply) == declaration_trust::confirmed) router_.confirm(reply.declaration_version());
-  if (now - requested <= max_load_age) router_.apply_loads(now, reply);
+  // The ages in a reply count from when it was sent, which may be as early as its request.
+  if (now - requested <= load_report_lifetime) router_.apply_loads(now, reply);
   router_.record_update_request(requested);
   last_update_ = now;
   readiness_.set_serving(router_.routes().version() > 0, router_.has_upstreams());
--- a/libraries/flow/load_reporter.cpp
+++ b/libraries/flow/load_reporter.cpp
@@ -1,6 +1,6 @@
 #include "zinniarelay/flow/load_reporter.h"
 
-#include "zinniarelay/flow/load_summary.h"
+#include "zinniarelay/flow/load_report.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,20 +15,11 @@
 // Keeps the entry hosts from reporting in step.
 constexpr milliseconds max_jitter{100};
 constexpr milliseconds min_interval{100};
-// Control hosts use no older observations.
-constexpr milliseconds max_age{3'000};
-constexpr std::size_t max_upstreams = 32;
-constexpr int max_flows = 64;
 // One datagram of 1,400 bytes, less the fields of the notice around the report.
 constexpr std::size_t max_report_bytes = 1'380;
 // Of one element besides its content: key and length.
 constexpr std::size_t element_overhead_bytes = 3;
 
-std::uint32_t age_ms(time_point now, time_point since) {
-  const auto age = std::chrono::duration_cast<milliseconds>(now - since);
-  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(age.count(), 0));
-}
-
 } // namespace
 
 load_reporter::load_reporter(identity self, random_engine engine)
@@ -72,7 +63,9 @@
   out.set_process(process_);
   out.set_sequence(++sequence_);
   out.set_is_partial(!is_regular);
-  add_upstreams(now, is_regular ? now - max_age : previous.value_or(now - max_age), selector, out);
+  add_upstreams(
+      now, is_regular ? now - load_report_lifetime : previous.value_or(now - load_report_lifetime),
+      selector, out);
   if (is_regular) add_flows(upstreams, flows, out);
   return out;
 }
@@ -85,19 +78,19 @@
     const auto last = std::max(seen.last_answer, seen.last_timeout);
     if (last >= since) latest.emplace_back(last, incarnation);
   }
-  const auto count = std::min(latest.size(), max_upstreams);
+  const auto count = std::min<std::size_t>(latest.size(), max_reported_upstreams);
   std::partial_sort(latest.begin(), latest.begin() + static_cast<std::ptrdiff_t>(count),
                     latest.end(), std::greater<>());
   for (std::size_t n = 0; n < count; ++n) {
     const observation& seen = selector.health_observations().at(latest[n].second);
     auto& added = *out.add_upstreams();
     added.set_incarnation(latest[n].second);
-    if (seen.timeouts > 0 && now - seen.last_timeout <= max_age) {
+    if (seen.timeouts > 0 && now - seen.last_timeout <= load_report_lifetime) {
       added.set_unanswered(seen.timeouts);
       added.set_unanswered_age_ms(age_ms(now, seen.last_timeout));
       added.set_opening_age_ms(age_ms(now, seen.last_forwarded));
     }
-    if (now - seen.last_answer > max_age) continue;
+    if (now - seen.last_answer > load_report_lifetime) continue;
     added.set_has_answer(true);
     added.set_answer_age_ms(age_ms(now, seen.last_answer));
   }
@@ -127,7 +120,7 @@
   auto size = out.ByteSizeLong();
   for (const auto& it : ordered) {
     size += it.ByteSizeLong() + element_overhead_bytes;
-    if (out.flows_size() >= max_flows || size > max_report_bytes) return;
+    if (out.flows_size() >= max_reported_flows || size > max_report_bytes) return;
     *out.add_flows() = it;
   }
 }
--- a/libraries/flow/load_summary.cpp
+++ b/libraries/flow/load_summary.cpp
@@ -7,7 +7,6 @@
 namespace zinnia {
 namespace {
 
-constexpr milliseconds max_age{3'000};
 // As long as an entry host avoids an upstream by its own observations.
 constexpr milliseconds suspect_period{1'000};
 constexpr std::size_t min_observers = 2;
@@ -22,8 +21,6 @@
 
 constexpr std::size_t max_hosts = 20'000;
 constexpr std::size_t max_upstreams = 200'000;
-constexpr int max_reported_flows = 64;
-constexpr int max_reported_upstreams = 32;
 constexpr std::size_t max_name_bytes = 128;
 // An entry host has at most 99 MB for its flows, and a link of 3.6 Mbit/s.
 constexpr std::uint32_t max_open_flows = 200'000;
@@ -37,8 +34,8 @@
 constexpr double max_suspects_bytes = 350;
 constexpr std::size_t max_new_suspects = 1'000;
 constexpr std::size_t max_listed_loads = 64;
-// Sums that an entry host does not get again within max_age are lost to it, so that a full cycle of
-// replies takes less than that for the listed sums of a few services.
+// Sums that an entry host does not get again within load_report_lifetime are lost to it, so that a
+// full cycle of replies takes less than that for the listed sums of a few services.
 constexpr std::size_t max_loads_bytes = 450;
 constexpr milliseconds loads_interval{500};
 constexpr milliseconds ranking_lifetime{100};
@@ -50,11 +47,6 @@
   return !text.empty() && text.size() <= max_name_bytes;
 }
 
-std::uint32_t age_ms(time_point now, time_point since) {
-  const auto age = std::chrono::duration_cast<milliseconds>(now - since);
-  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(age.count(), 0));
-}
-
 bool is_well_formed(const wire::flow_load& report) {
   return is_name(report.host()) && is_name(report.zone()) && report.process() != 0 &&
          report.sequence() != 0 && report.flows_size() <= max_reported_flows &&
@@ -126,8 +118,8 @@
   if (!upstreams_.contains(seen.incarnation()) && upstreams_.size() >= max_upstreams) return;
   const milliseconds answer_age(seen.answer_age_ms());
   const milliseconds unanswered_age(seen.unanswered_age_ms());
-  const bool has_answer = seen.has_answer() && answer_age <= max_age;
-  const bool has_unanswered = seen.unanswered() > 0 && unanswered_age <= max_age;
+  const bool has_answer = seen.has_answer() && answer_age <= load_report_lifetime;
+  const bool has_unanswered = seen.unanswered() > 0 && unanswered_age <= load_report_lifetime;
   if (!has_answer && !has_unanswered) return;
   auto& view = upstreams_[seen.incarnation()];
   const bool was_suspect = view.suspect_since(now).has_value();
@@ -139,7 +131,7 @@
   if (has_answer)
     view.last_answer = std::max(view.last_answer.value_or(time_point{}), now - answer_age);
   std::erase_if(view.unanswered, [&](const auto& it) {
-    return it.host == from || now - it.found > max_age ||
+    return it.host == from || now - it.found > load_report_lifetime ||
            (view.last_answer && it.forwarded <= *view.last_answer);
   });
   const auto forwarded = now - milliseconds(seen.opening_age_ms());
@@ -162,12 +154,12 @@
   std::size_t observers = 0;
   std::uint32_t count = 0;
   for (const auto& it : unanswered) {
-    if (now - it.found > max_age) continue;
+    if (now - it.found > load_report_lifetime) continue;
     ++observers;
     count = std::max(count, it.count);
     latest = std::max(latest.value_or(it.found), it.found);
   }
-  const bool has_other = other_observer != endpoint{} && now - other_event <= max_age;
+  const bool has_other = other_observer != endpoint{} && now - other_event <= load_report_lifetime;
   const bool is_unresponsive =
       observers >= min_observers || (observers == 1 && !has_other && count >= min_unanswered_alone);
   if (!is_unresponsive || now - *latest > suspect_period) return std::nullopt;
@@ -195,7 +187,7 @@
 std::vector<wire::zone_load> load_summary::loads(time_point now) const {
   std::map<std::tuple<std::string, std::string, std::string>, wire::zone_load> sums;
   for (const auto& [from, host] : hosts_) {
-    if (now - host.flows_received > max_age) continue;
+    if (now - host.flows_received > load_report_lifetime) continue;
     for (const auto& it : host.flows) {
       auto& sum = sums[{it.service(), host.zone, it.upstream_zone()}];
       sum.set_open_flows(sum.open_flows() + it.open_flows());
@@ -289,7 +281,8 @@
   if (now < next_expiry_) return;
   next_expiry_ = now + expiry_period;
   std::erase_if(hosts_, [&](const auto& it) { return now - it.second.received > host_lifetime; });
-  std::erase_if(upstreams_, [&](const auto& it) { return now - it.second.last_event > max_age; });
+  std::erase_if(upstreams_,
+                [&](const auto& it) { return now - it.second.last_event > load_report_lifetime; });
   for (auto& [incarnation, view] : upstreams_)
     view.is_suspect = view.is_suspect && view.suspect_since(now).has_value();
   std::erase_if(receivers_,
--- a/libraries/flow/spillover_policy.cpp
+++ b/libraries/flow/spillover_policy.cpp
@@ -87,10 +87,10 @@
 
 std::optional<spillover_policy::change>
 spillover_policy::update(const std::string& service, const std::vector<wire::zone_load>& loads,
-                         const zone_capacities& capacities, milliseconds elapsed) {
+                         const zone_capacities& capacities) {
   std::vector<wire::zone_load> recent;
   std::copy_if(loads.begin(), loads.end(), std::back_inserter(recent), [&](const auto& it) {
-    return it.service() == service && milliseconds(it.age_ms()) + elapsed <= max_figure_age;
+    return it.service() == service && milliseconds(it.age_ms()) <= max_figure_age;
   });
   const auto has_own = std::any_of(recent.begin(), recent.end(), [this](const auto& it) {
     return it.caller_zone() == settings_.zone;
--- a/libraries/flow/upstream_selector.cpp
+++ b/libraries/flow/upstream_selector.cpp
@@ -97,14 +97,13 @@
   next_spillover_update_ = now + spillover_interval;
   const auto loads = zone_loads_.current(now);
   for (const auto& [service, listed] : ready_upstreams_) {
-    auto change =
-        spillover_.update(service, loads, capacities_of(now, known, listed), milliseconds(0));
+    auto change = spillover_.update(service, loads, capacities_of(now, known, listed));
     if (change) spillover_changes_.push_back(std::move(*change));
   }
   // A service without ready upstreams has no shares.
   for (const auto& [service, shares] : spillover_.shares()) {
     if (ready_upstreams_.contains(service)) continue;
-    auto change = spillover_.update(service, {}, {}, milliseconds(0));
+    auto change = spillover_.update(service, {}, {});
     if (change) spillover_changes_.push_back(std::move(*change));
   }
 }
--- a/tests/libraries/config/settings_test.cpp
+++ b/tests/libraries/config/settings_test.cpp
@@ -187,8 +187,8 @@
   BOOST_TEST(settings.value().founding_members().empty());
 }
 
-// Guards against load reports that nobody enabled, and against a host that has no address from
-// which to send them.
+// Guards against load reports that are sent without the setting, and against a host that is to send
+// them and has no notice address.
 BOOST_AUTO_TEST_CASE(load_reports_are_off_unless_enabled) {
   const std::string entry = "name: entry-1\nzone_name: a\npacket_address: 127.0.0.1:7001\n"
                             "ready_address: 127.0.0.1:7002\n"
--- a/tests/libraries/control/group_policy_test.cpp
+++ b/tests/libraries/control/group_policy_test.cpp
@@ -24,19 +24,7 @@
     group.run(milliseconds(3'000));
   }
 
-  void run(milliseconds duration) {
-    constexpr milliseconds join_interval{300};
-    for (const auto end = group.now + duration; group.now < end; group.run(join_interval))
-      for (const auto& [id, it] : group.members)
-        if (group.is_up(id)) request_join(id);
-  }
-
-  void request_join(std::uint64_t id) {
-    const auto request = group.host(id).join_request_due(group.now);
-    const auto leader = group.leader();
-    if (request && leader != 0 && group.cut_links.count({id, leader}) == 0)
-      group.host(leader).join(group.now, *request);
-  }
+  void run(milliseconds duration) { group.run_joining(duration, milliseconds(300)); }
 
   void add(std::uint64_t id) {
     group.add(id);
--- a/tests/libraries/control/group_start_test.cpp
+++ b/tests/libraries/control/group_start_test.cpp
@@ -46,17 +46,7 @@
     group.start(id);
   }
 
-  void run(milliseconds duration) {
-    for (const auto end = group.now + duration; group.now < end; group.run(join_interval))
-      for (const auto& [id, it] : group.members)
-        if (group.is_up(id)) request_join(id);
-  }
-
-  void request_join(std::uint64_t id) {
-    const auto request = group.host(id).join_request_due(group.now);
-    const auto leader = group.leader();
-    if (request && leader != 0) group.host(leader).join(group.now, *request);
-  }
+  void run(milliseconds duration) { group.run_joining(duration, join_interval); }
 
   /// Waits until there is a leader that is in contact with a quorum.
   std::uint64_t elect() {
--- a/tests/libraries/flow/spillover_policy_test.cpp
+++ b/tests/libraries/flow/spillover_policy_test.cpp
@@ -55,7 +55,7 @@
 spillover_policy active_policy() {
   spillover_policy out({"a", milliseconds(0)});
   for (int n = 0; n < 10; ++n)
-    out.update("s", uneven_loads(), two_zones(), milliseconds(0));
+    out.update("s", uneven_loads(), two_zones());
   return out;
 }
 
@@ -190,7 +190,7 @@
   spillover_policy policy({"a", milliseconds(0)});
   double previous = 0;
   for (int n = 0; n < 15; ++n) {
-    policy.update("s", uneven_loads(), two_zones(), milliseconds(0));
+    policy.update("s", uneven_loads(), two_zones());
     const auto& shares = *policy.shares_of("s");
     const auto share = shares.count("b") > 0 ? shares.at("b") : 0;
     // The first sums after a start cover less than a second.
@@ -210,7 +210,7 @@
     const auto rate = static_cast<std::uint32_t>(200 * utilization);
     const std::vector loads{load_of("a", "a", static_cast<std::uint32_t>(open), rate),
                             load_of("b", "b", 2, 20)};
-    return policy.update("s", loads, two_zones(), milliseconds(0));
+    return policy.update("s", loads, two_zones());
   };
   spillover_policy policy({"a", milliseconds(0)});
   for (int n = 0; n < 10; ++n)
@@ -226,7 +226,7 @@
   const auto share_after = [](const std::vector<wire::zone_load>& loads,
                               const spillover_policy::zone_capacities& zones) {
     auto policy = active_policy();
-    policy.update("s", loads, zones, milliseconds(0));
+    policy.update("s", loads, zones);
     return policy.shares_of("s")->count("b");
   };
   BOOST_TEST(share_after(uneven_loads(), two_zones()) == 1U);
@@ -239,7 +239,7 @@
   BOOST_TEST(share_after({uneven_loads()[0]}, two_zones()) == 0U);
   spillover_policy policy({"b", milliseconds(0)});
   for (int n = 0; n < 10; ++n)
-    policy.update("s", uneven_loads(), two_zones(), milliseconds(0));
+    policy.update("s", uneven_loads(), two_zones());
   BOOST_TEST(policy.shares_of("s")->empty());
 }
 
@@ -249,9 +249,12 @@
   BOOST_TEST(policy.shares_of("s")->at("b") > 0);
   auto loads = uneven_loads();
   loads[1].set_age_ms(3'001);
-  policy.update("s", loads, two_zones(), milliseconds(0));
+  policy.update("s", loads, two_zones());
   BOOST_TEST(policy.shares_of("s")->count("b") == 0U);
-  policy.update("s", uneven_loads(), two_zones(), milliseconds(2'501));
+  loads = uneven_loads();
+  for (auto& it : loads)
+    it.set_age_ms(it.age_ms() + 2'501);
+  policy.update("s", loads, two_zones());
   BOOST_TEST((policy.shares_of("s") == nullptr));
 }
 
--- a/tests/libraries/warmup/warmup_system.h
+++ b/tests/libraries/warmup/warmup_system.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libraries/flow/flow_fixture.h"
 #include "support/control_group.h"
 #include "zinniarelay/flow/compact_replies.h"
 #include "zinniarelay/flow/flow_host.h"
@@ -80,22 +81,12 @@
     wire::version_request out;
     out.set_author("operator");
     auto& declaration = *out.mutable_proposed()->mutable_declaration();
-    declaration.set_version(version);
-    auto& service = *declaration.add_services();
-    service.set_name("registry");
+    declaration = declaration_of(version);
     if (options_.is_limited) {
+      auto& service = *declaration.mutable_services(0);
       service.set_warmup_ms(static_cast<std::uint32_t>(warmup.count()));
       service.set_warmup_rate(options_.rate);
     }
-    auto& route = *declaration.add_routes();
-    route.set_name("lookup");
-    route.set_address(service_ip);
-    route.set_port(443);
-    route.set_kind(wire::safe);
-    route.set_timeout_ms(2'500);
-    auto& share = *route.add_services();
-    share.set_service("registry");
-    share.set_weight(1);
     const auto leader = group.leader();
     group.host(leader).apply_version(group.now, 1, out);
     group.observe(leader);
@@ -198,8 +189,6 @@
   std::size_t most_holders = 0; ///< entry hosts with a lease of one upstream at the same time
 
 private:
-  static constexpr std::uint32_t service_ip = 0xC612'0001;
-
   struct copy {
     time_point due;
     packet_head head;
--- a/tests/support/control_group.h
+++ b/tests/support/control_group.h
@@ -141,6 +141,20 @@
     }
   }
 
+  /// Sends the request of a host outside the group to join, if one is due, to the leader.
+  void request_join(std::uint64_t id) {
+    const auto request = host(id).join_request_due(now);
+    const auto to = leader();
+    if (request && to != 0 && cut_links.count({id, to}) == 0) host(to).join(now, *request);
+  }
+
+  /// Runs the group while the hosts outside it request to join, as the daemon does.
+  void run_joining(milliseconds duration, milliseconds join_interval) {
+    for (const auto end = now + duration; now < end; run(join_interval))
+      for (const auto& [id, it] : members)
+        if (is_up(id)) request_join(id);
+  }
+
   /// Lets the entry host in the zone of `id` poll the control host `polled`.
   void poll(std::uint64_t id, std::uint64_t polled) {
     if (!is_up(polled)) return;
