--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -89,7 +89,7 @@
   local name
   for name in "$@"; do kill -KILL "${pids[$name]}"; done
   for name in "$@"; do
-    wait "${pids[$name]}" 2>/dev/null
+    wait "${pids[$name]}" 2>/dev/null || true
     unset "pids[$name]"
   done
 }
