--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -38,6 +38,7 @@
   if [ -n "${KEEP:-}" ]; then echo "kept $work"; else rm -rf "$work"; fi
 }
 trap end_all EXIT
+trap 'exit 2' INT TERM
 
 # finish CODE TEXT: records the verdict and ends the script.
 finish() {
